--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! All decisions of rainyoke. The interface (settings, events, actions) is in `src/api.rs`, the
+//! All decisions of shorepath. The interface (settings, events, actions) is in `src/api.rs`, the
 //! records kept here in `src/state.rs`.
 //!
 //! Sections: entry; RFQ; window; pick; health; cold budget; retries and answers; the list. RFQ is
--- a/src/bin/rainyoke-benchlink.rs
+++ b/src/bin/shorepath-adapter.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match rainyoke::wire::serve(stdin().lock(), BufWriter::new(stdout().lock())) {
+    match shorepath::wire::serve(stdin().lock(), BufWriter::new(stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("rainyoke-benchlink: {message}");
+            eprintln!("shorepath-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,244 @@
+//! The settings object that an instance is given: one parser for the simulator's wire and the node.
+
+use crate::api::*;
+use serde::Deserialize;
+use siphasher::sip::SipHasher13;
+use std::collections::HashMap;
+use std::hash::Hasher;
+
+/// The settings object as it is written; what is missing counts as nothing allowed or known.
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+pub struct Setup {
+    allowed: Allowed,
+    classes: Vec<Class>,
+    costs: Costs,
+    discovery: String,
+    family_info: FamilyInfo,
+    granularity_ms: f64,
+    kinds: Vec<String>,
+    over_share_worth: f64,
+    projects: Vec<Project>,
+    rank: u32,
+    replicas_of_me: u32,
+    rules: Rules,
+    weights: String,
+    zone: String,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct Allowed {
+    cancel: bool,
+    conn_idle_ms: f64,
+    connect_timeout_ms: f64,
+    max_open: usize,
+    max_retry_after_ms: f64,
+    peers: bool,
+    retry_after: bool,
+    try_limit: u32,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct Class {
+    name: String,
+    aim_stretch: Option<f64>,
+    deadline_ms: f64,
+    dedup_window_ms: f64,
+    group: String,
+    late_worth: f64,
+    semantics: String,
+    target_ms: f64,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct Costs {
+    cross_zone: f64,
+    origin: f64,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct FamilyInfo {
+    class_kind: Vec<i64>,
+    class_stretch: Vec<f64>,
+    tells_start: bool,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct Project {
+    name: String,
+    portion: f64,
+    quota_rps: f64,
+}
+
+#[derive(Debug, Deserialize, Default)]
+#[serde(default)]
+struct Rules {
+    drain_grace_ms: f64,
+    cold_share: f64,
+    cold_ms: f64,
+    tip_multiple: f64,
+    fall_ms: f64,
+    shed_after_start: bool,
+    min_extra: Option<f64>,
+    extra_share: Option<f64>,
+    ratio_span_ms: f64,
+    soft_removal: bool,
+}
+
+/// Names to numbers, in order of first sight.
+#[derive(Debug, Default)]
+pub struct Names {
+    list: Vec<String>,
+    index: HashMap<String, u32>,
+}
+
+impl Names {
+    /// Those names, numbered in their order.
+    fn of<'a>(names: impl Iterator<Item = &'a String>) -> Self {
+        let mut all = Names::default();
+        names.for_each(|n| {
+            all.number(n);
+        });
+        all
+    }
+    /// The name of that number.
+    pub fn name(&self, number: u32) -> Option<&str> {
+        self.list.get(number as usize).map(String::as_str)
+    }
+    /// The number of that name, if it has one.
+    pub fn get(&self, name: &str) -> Option<u32> {
+        self.index.get(name).copied()
+    }
+    /// The number of that name; it is given the next one at first sight.
+    pub fn number(&mut self, name: &str) -> u32 {
+        if let Some(&n) = self.index.get(name) {
+            return n;
+        }
+        let n = self.list.len() as u32;
+        self.list.push(name.to_string());
+        self.index.insert(name.to_string(), n);
+        n
+    }
+}
+
+/// Milliseconds to the module's time.
+pub fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round() as Micros
+}
+
+/// The same number for the same text in every process.
+pub fn mark(text: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+/// With a span and either figure the ration binds; what is missing or negative counts as 0.
+fn ration(rules: &Rules) -> Option<Ration> {
+    let stated = rules.min_extra.is_some() || rules.extra_share.is_some();
+    (stated && rules.ratio_span_ms > 0.0).then(|| Ration {
+        span: micros(rules.ratio_span_ms),
+        free: rules.min_extra.unwrap_or(0.0).max(0.0),
+        share: rules.extra_share.unwrap_or(0.0).max(0.0),
+    })
+}
+
+/// The numbers that the module knows names by.
+#[derive(Debug, Default)]
+pub struct Catalogue {
+    /// Workers.
+    pub workers: Names,
+    /// Zones.
+    pub zones: Names,
+    /// Kinds of workers.
+    pub kinds: Names,
+    /// Classes, numbered as [`ClassId`].
+    pub classes: Names,
+    /// Tenants, numbered as [`TenantId`].
+    pub tenants: Names,
+}
+
+impl Setup {
+    /// What the module is started with, and the names behind its numbers.
+    pub fn read(&self) -> (Settings, Catalogue) {
+        let mut names = Catalogue {
+            kinds: Names::of(self.kinds.iter()),
+            classes: Names::of(self.classes.iter().map(|c| &c.name)),
+            tenants: Names::of(self.projects.iter().map(|p| &p.name)),
+            ..Catalogue::default()
+        };
+        (settings(self, &mut names.zones), names)
+    }
+    /// How many requests may be open at once; 0 where there is no limit.
+    pub fn max_open(&self) -> usize {
+        self.allowed.max_open
+    }
+    /// How long a connection may take to come up.
+    pub fn connect_timeout(&self) -> Micros {
+        micros(self.allowed.connect_timeout_ms)
+    }
+    /// Workers close a connection that has been idle for this long.
+    pub fn conn_idle(&self) -> Micros {
+        micros(self.allowed.conn_idle_ms)
+    }
+}
+
+fn settings(setup: &Setup, zones: &mut Names) -> Settings {
+    let f = &setup.family_info;
+    let kinds = setup.kinds.len() as i64;
+    let class = |(i, c): (usize, &Class)| ClassSettings {
+        aim: micros(c.target_ms),
+        stretch: c.aim_stretch.or(f.class_stretch.get(i).copied()).unwrap_or(0.0),
+        deadline: micros(c.deadline_ms),
+        late_worth: c.late_worth,
+        effect: match c.semantics.as_str() {
+            "free" => Effect::Safe,
+            "guarded" => Effect::Keyed {
+                scope: match c.group.as_str() {
+                    "all" => Scope::All,
+                    "zone" => Scope::Zone,
+                    _ => Scope::Cell,
+                },
+                memory: micros(c.dedup_window_ms),
+            },
+            _ => Effect::Unsafe,
+        },
+        kind: f.class_kind.get(i).filter(|k| (0..kinds).contains(*k)).map(|&k| KindId(k as u32)),
+    };
+    Settings {
+        instances: setup.replicas_of_me.max(1),
+        rank: setup.rank,
+        zone: ZoneId(zones.number(&setup.zone)),
+        tick: micros(setup.granularity_ms).max(1),
+        classes: setup.classes.iter().enumerate().map(class).collect(),
+        tenants: setup
+            .projects
+            .iter()
+            .map(|p| TenantSettings { share: p.portion, quota_per_s: p.quota_rps })
+            .collect(),
+        over_share_worth: setup.over_share_worth,
+        must_subscribe: setup.discovery == "on_request",
+        tells_start: f.tells_start,
+        cancel: setup.allowed.cancel,
+        peers: setup.allowed.peers,
+        scale_is_capacity: matches!(setup.weights.as_str(), "nominal" | "live"),
+        retry_after: setup.allowed.retry_after,
+        max_retry_after: micros(setup.allowed.max_retry_after_ms),
+        max_attempts: setup.allowed.try_limit,
+        drain_grace: micros(setup.rules.drain_grace_ms),
+        cold_share: setup.rules.cold_share,
+        cold_time: micros(setup.rules.cold_ms),
+        fall_multiple: setup.rules.tip_multiple,
+        fall_time: micros(setup.rules.fall_ms),
+        full_may_have_run: setup.rules.shed_after_start,
+        cross_zone_price: setup.costs.cross_zone,
+        fetch_price: setup.costs.origin,
+        ration: ration(&setup.rules),
+        only_draining_binds: setup.rules.soft_removal,
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,12 +1,11 @@
 //! JSON lines to events and actions to JSON lines. Nothing is decided here.
 
 use crate::api::*;
+use crate::settings::{mark, micros, Catalogue, Names, Setup};
 use crate::Balancer;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use serde::{Deserialize, Serialize};
-use siphasher::sip::SipHasher13;
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::io::{BufRead, Write};
 
 /// One incoming line; which fields count depends on `t`.
@@ -57,86 +56,6 @@
     1.0
 }
 
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Setup {
-    allowed: Allowed,
-    classes: Vec<Class>,
-    costs: Costs,
-    discovery: String,
-    family_info: FamilyInfo,
-    granularity_ms: f64,
-    kinds: Vec<String>,
-    over_share_worth: f64,
-    projects: Vec<Project>,
-    rank: u32,
-    replicas_of_me: u32,
-    rules: Rules,
-    weights: String,
-    zone: String,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Allowed {
-    cancel: bool,
-    max_retry_after_ms: f64,
-    peers: bool,
-    retry_after: bool,
-    try_limit: u32,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Class {
-    name: String,
-    aim_stretch: Option<f64>,
-    deadline_ms: f64,
-    dedup_window_ms: f64,
-    group: String,
-    late_worth: f64,
-    semantics: String,
-    target_ms: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Costs {
-    cross_zone: f64,
-    origin: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct FamilyInfo {
-    class_kind: Vec<i64>,
-    class_stretch: Vec<f64>,
-    tells_start: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Project {
-    name: String,
-    portion: f64,
-    quota_rps: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Rules {
-    drain_grace_ms: f64,
-    cold_share: f64,
-    cold_ms: f64,
-    tip_multiple: f64,
-    fall_ms: f64,
-    shed_after_start: bool,
-    min_extra: Option<f64>,
-    extra_share: Option<f64>,
-    ratio_span_ms: f64,
-    soft_removal: bool,
-}
-
 /// One outgoing line.
 #[derive(Serialize, Default)]
 struct Reply<'a> {
@@ -165,145 +84,28 @@
     words: Option<&'a str>,
 }
 
-/// Names to numbers, in order of first sight.
-#[derive(Default)]
-struct Names {
-    list: Vec<String>,
-    index: HashMap<String, u32>,
-}
-
-impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        if let Some(&n) = self.index.get(name) {
-            return n;
-        }
-        let n = self.list.len() as u32;
-        self.list.push(name.to_string());
-        self.index.insert(name.to_string(), n);
-        n
-    }
-}
-
 struct Instance {
     balancer: Balancer,
-    workers: Names,
-    zones: Names,
-    kinds: Names,
-    classes: Names,
-    tenants: Names,
-}
-
-fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round() as Micros
+    names: Catalogue,
 }
 
 fn ms(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
 
-/// The same number for the same text in every process.
-fn mark(text: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(text.as_bytes());
-    hasher.finish()
-}
-
-/// With a span and either figure the ration binds; what is missing or negative counts as 0.
-fn ration(rules: &Rules) -> Option<Ration> {
-    let stated = rules.min_extra.is_some() || rules.extra_share.is_some();
-    (stated && rules.ratio_span_ms > 0.0).then(|| Ration {
-        span: micros(rules.ratio_span_ms),
-        free: rules.min_extra.unwrap_or(0.0).max(0.0),
-        share: rules.extra_share.unwrap_or(0.0).max(0.0),
-    })
-}
-
-fn settings(setup: &Setup, zones: &mut Names) -> Settings {
-    let f = &setup.family_info;
-    let kinds = setup.kinds.len() as i64;
-    let class = |(i, c): (usize, &Class)| ClassSettings {
-        aim: micros(c.target_ms),
-        stretch: c.aim_stretch.or(f.class_stretch.get(i).copied()).unwrap_or(0.0),
-        deadline: micros(c.deadline_ms),
-        late_worth: c.late_worth,
-        effect: match c.semantics.as_str() {
-            "free" => Effect::Safe,
-            "guarded" => Effect::Keyed {
-                scope: match c.group.as_str() {
-                    "all" => Scope::All,
-                    "zone" => Scope::Zone,
-                    _ => Scope::Cell,
-                },
-                memory: micros(c.dedup_window_ms),
-            },
-            _ => Effect::Unsafe,
-        },
-        kind: f.class_kind.get(i).filter(|k| (0..kinds).contains(*k)).map(|&k| KindId(k as u32)),
-    };
-    Settings {
-        instances: setup.replicas_of_me.max(1),
-        rank: setup.rank,
-        zone: ZoneId(zones.number(&setup.zone)),
-        tick: micros(setup.granularity_ms).max(1),
-        classes: setup.classes.iter().enumerate().map(class).collect(),
-        tenants: setup
-            .projects
-            .iter()
-            .map(|p| TenantSettings { share: p.portion, quota_per_s: p.quota_rps })
-            .collect(),
-        over_share_worth: setup.over_share_worth,
-        must_subscribe: setup.discovery == "on_request",
-        tells_start: f.tells_start,
-        cancel: setup.allowed.cancel,
-        peers: setup.allowed.peers,
-        scale_is_capacity: matches!(setup.weights.as_str(), "nominal" | "live"),
-        retry_after: setup.allowed.retry_after,
-        max_retry_after: micros(setup.allowed.max_retry_after_ms),
-        max_attempts: setup.allowed.try_limit,
-        drain_grace: micros(setup.rules.drain_grace_ms),
-        cold_share: setup.rules.cold_share,
-        cold_time: micros(setup.rules.cold_ms),
-        fall_multiple: setup.rules.tip_multiple,
-        fall_time: micros(setup.rules.fall_ms),
-        full_may_have_run: setup.rules.shed_after_start,
-        cross_zone_price: setup.costs.cross_zone,
-        fetch_price: setup.costs.origin,
-        ration: ration(&setup.rules),
-        only_draining_binds: setup.rules.soft_removal,
-    }
-}
-
 fn need<T>(field: Option<T>, name: &str) -> Result<T, String> {
     field.ok_or_else(|| format!("field '{name}' is missing"))
 }
 
-fn instance(setup: &Setup, salt: u64) -> Instance {
-    let mut zones = Names::default();
-    let mut kinds = Names::default();
-    let mut classes = Names::default();
-    let mut tenants = Names::default();
-    for k in &setup.kinds {
-        kinds.number(k);
-    }
-    for c in &setup.classes {
-        classes.number(&c.name);
-    }
-    for p in &setup.projects {
-        tenants.number(&p.name);
-    }
-    let balancer = Balancer::new(settings(setup, &mut zones), salt);
-    Instance { balancer, workers: Names::default(), zones, kinds, classes, tenants }
-}
-
 impl Instance {
     fn members(&mut self, items: Vec<Item>) -> Result<Vec<Member>, String> {
         let mut list = Vec::with_capacity(items.len());
         for i in items {
             list.push(Member {
-                worker: WorkerId(self.workers.number(&i.worker)),
+                worker: WorkerId(self.names.workers.number(&i.worker)),
                 mark: mark(&i.worker),
-                kind: KindId(self.kinds.number(&i.sku)),
-                zone: ZoneId(self.zones.number(&i.region_part)),
+                kind: KindId(self.names.kinds.number(&i.sku)),
+                zone: ZoneId(self.names.zones.number(&i.region_part)),
                 cell: i.group as u32,
                 scale: i.scale,
                 standing: match i.condition.as_str() {
@@ -337,12 +139,12 @@
             }
             "REQUEST" => {
                 let service = need(line.service.as_deref(), "service")?;
-                let class = self.classes.index.get(service).copied();
+                let class = self.names.classes.get(service);
                 let tenant = line.user_group.as_ref().and_then(|v| v.as_str());
                 Event::Request(Request {
                     id: id()?,
                     class: ClassId(class.ok_or_else(|| format!("unknown service '{service}'"))? as usize),
-                    tenant: tenant.and_then(|n| self.tenants.index.get(n)).map(|&n| TenantId(n as usize)),
+                    tenant: tenant.and_then(|n| self.names.tenants.get(n)).map(|n| TenantId(n as usize)),
                     key: line.key.as_deref().map(|k| KeyId(mark(k))),
                     time_left: micros(need(line.time_left_ms, "time_left_ms")?),
                     hint: line.hint_ms.filter(|h| *h > 0.0).map(micros),
@@ -386,7 +188,7 @@
 }
 
 fn reply<'a>(action: &Action, name: &'a str, workers: &'a Names) -> Reply<'a> {
-    let worker = |w: &WorkerId| workers.list.get(w.0 as usize).map(String::as_str);
+    let worker = |w: &WorkerId| workers.name(w.0);
     let base = Reply { scheduler: Some(name), ..Reply::default() };
     match action {
         Action::Send { id, worker: w } => Reply { t: "TRY", xid: Some(id.0), worker: worker(w), ..base },
@@ -430,7 +232,9 @@
             "POWER_ON" => {
                 let name = need(line.scheduler, "scheduler").map_err(at)?;
                 let setup = need(line.setup, "setup").map_err(at)?;
-                instances.insert(name, instance(&setup, line.salt.unwrap_or(0)));
+                let (settings, names) = setup.read();
+                let balancer = Balancer::new(settings, line.salt.unwrap_or(0));
+                instances.insert(name, Instance { balancer, names });
             }
             "HALT" => drop(instances.remove(&need(line.scheduler, "scheduler").map_err(at)?)),
             _ => {
@@ -454,7 +258,7 @@
                     return Err(at(format!("the decision module failed: {words}")));
                 }
                 for action in actions.drain(..) {
-                    write_line(&mut output, &reply(&action, &name, &i.workers))?;
+                    write_line(&mut output, &reply(&action, &name, &i.names.workers))?;
                 }
             }
         }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use rainyoke::api::*;
-use rainyoke::Balancer;
+use shorepath::api::*;
+use shorepath::Balancer;
 use std::collections::BTreeMap;
 
 struct Known {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter: what it writes for what it reads, and bad input.
 
-use rainyoke::wire::serve;
+use shorepath::wire::serve;
 
 const ON: &str = r#"{"t":"POWER_ON","scheduler":"scheduler-0","salt":5,"setup":{"classes":[{"name":"look",
 "target_ms":100.0,"deadline_ms":1000.0,"semantics":"free"}],"replicas_of_me":1,"granularity_ms":1.0,
