--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod balance;
+pub mod net;
 pub mod settings;
 mod state;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,24 +1,59 @@
 //! The command line of the node.
 
 use bpaf::Bpaf;
+use shorepath::net::config::{Config, ConfigError};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// A node that dispatches jobs to backend servers by Redemptive Fair Queuing
+/// A node that takes jobs from clients and dispatches them to backend servers
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options)]
+#[bpaf(options, version)]
 enum Command {
-    /// Serve clients until told to stop
+    /// Serve clients until told to stop by SIGTERM or SIGINT
     #[bpaf(command)]
-    Serve,
+    Serve {
+        /// The configuration, a JSON file
+        #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
+        config: Option<PathBuf>,
+    },
+    /// Check a configuration and say what is wrong with it
+    #[bpaf(command)]
+    Check {
+        /// The configuration, a JSON file
+        #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
+        config: Option<PathBuf>,
+    },
     /// Print the version
     #[bpaf(command)]
     Version,
 }
 
-fn main() -> ExitCode {
-    match command().run() {
+fn read(path: Option<PathBuf>) -> Result<Config, ConfigError> {
+    Config::read(&path.ok_or(ConfigError::Unnamed)?, |name| std::env::var(name).ok())
+}
+
+fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+    match command {
+        Command::Serve { config } => {
+            let config = read(config)?;
+            tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+            shorepath::net::serve(config)?;
+        }
+        Command::Check { config } => {
+            let config = read(config)?;
+            println!("{}: would serve on {}", config.name, config.listen);
+        }
         Command::Version => println!("shorepath {}", env!("CARGO_PKG_VERSION")),
-        Command::Serve => std::thread::park(),
     }
-    ExitCode::SUCCESS
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run(command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("shorepath: {e}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- /dev/null
+++ b/src/net/backend.rs
@@ -0,0 +1,489 @@
+//! The backend: connections to backend servers, and one attempt at a time on each. It carries out the
+//! exchange's orders, reports what becomes of them, and sends nothing again by itself.
+
+use super::codec::{ClientCodec, Outgoing, Piece, ReadError, MAX_BODY};
+use super::deadlines::Deadlines;
+use super::ending::{Ending, Side};
+use super::exchange::{DispatchId, Exchange, Order};
+use super::pool::Pool;
+use super::Job;
+use crate::api::{Status, WorkerId};
+use futures_util::{SinkExt, StreamExt};
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::codec::Framed;
+use tracing::{debug, warn};
+
+/// How long the end of an answer may take after its last line.
+const TAIL: Duration = Duration::from_millis(200);
+
+type Connection = Framed<TcpStream, ClientCodec>;
+
+/// What the backend may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections that may be open.
+    pub connections: usize,
+    /// How long one may take to come up.
+    pub connect_timeout: Duration,
+    /// How long one may stand idle.
+    pub idle: Duration,
+}
+
+/// The connections to backend servers.
+#[derive(Debug)]
+pub struct Backend {
+    exchange: Rc<Exchange<Job>>,
+    deadlines: Rc<Deadlines>,
+    pool: Rc<Pool>,
+    bounds: Bounds,
+    servers: RefCell<HashMap<WorkerId, Server>>,
+    /// What calls off the attempts that are out.
+    out: RefCell<HashMap<DispatchId, oneshot::Sender<()>>>,
+    connections: Cell<usize>,
+    parked: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Server {
+    address: SocketAddr,
+    /// Whether it may be sent anything new.
+    active: watch::Sender<bool>,
+    /// Idle connections, the one used last at the back, by their number.
+    idle: VecDeque<(u64, mpsc::Sender<Task>)>,
+}
+
+/// One attempt on its way to a connection.
+#[derive(Debug)]
+struct Dispatch {
+    id: DispatchId,
+    payload: Rc<Job>,
+    until: Instant,
+    cancelled: oneshot::Receiver<()>,
+}
+
+/// What an idle connection is to do.
+#[derive(Debug)]
+enum Task {
+    Dispatch(Dispatch),
+    Close(Ending),
+}
+
+/// A line of a backend server's answer.
+#[derive(Debug, Deserialize)]
+struct Line {
+    id: String,
+    state: State,
+    share: Option<f64>,
+    result: Option<String>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Started,
+    Running,
+    Done,
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// How an attempt ended, and what that means for its connection.
+struct End {
+    status: Status,
+    after: After,
+}
+
+enum After {
+    /// The rest of the answer has to be read before it is used again.
+    Tail,
+    /// It ends.
+    Ends(Ending),
+}
+
+impl End {
+    fn closing(status: Status, ending: Ending) -> Self {
+        End { status, after: After::Ends(ending) }
+    }
+}
+
+impl Backend {
+    /// A backend without connections.
+    pub fn new(
+        exchange: Rc<Exchange<Job>>,
+        deadlines: Rc<Deadlines>,
+        pool: Rc<Pool>,
+        bounds: Bounds,
+    ) -> Rc<Self> {
+        Rc::new(Backend {
+            exchange,
+            deadlines,
+            pool,
+            bounds,
+            servers: RefCell::default(),
+            out: RefCell::default(),
+            connections: Cell::new(0),
+            parked: Cell::new(0),
+        })
+    }
+
+    /// Carry out orders for as long as the exchange lasts.
+    pub async fn run(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order<Job>>) {
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Dispatch { id, worker, payload, until } => {
+                    let (cancel, cancelled) = oneshot::channel();
+                    self.out.borrow_mut().insert(id, cancel);
+                    self.dispatch(worker, Dispatch { id, payload, until, cancelled });
+                }
+                Order::Cancel(id) => drop(self.out.borrow_mut().remove(&id)),
+                Order::CloseIdle(worker) => self.close_idle(worker, Ending::ClosedIdle),
+                Order::Server { worker, address, active } => self.server(worker, address, active),
+            }
+        }
+    }
+
+    /// Close all idle connections.
+    pub fn shut_down(&self) {
+        let all: Vec<_> = self.servers.borrow().keys().copied().collect();
+        all.into_iter().for_each(|worker| self.close_idle(worker, Ending::Shutdown));
+    }
+
+    fn server(&self, worker: WorkerId, address: Option<SocketAddr>, active: bool) {
+        let moved = {
+            let mut servers = self.servers.borrow_mut();
+            match (servers.get_mut(&worker), address) {
+                (Some(server), address) => {
+                    server.active.send_replace(active);
+                    let before = server.address;
+                    server.address = address.unwrap_or(before);
+                    before != server.address
+                }
+                (None, Some(address)) => {
+                    let (active, _) = watch::channel(active);
+                    servers.insert(worker, Server { address, active, idle: VecDeque::new() });
+                    false
+                }
+                (None, None) => false,
+            }
+        };
+        if moved || !active {
+            self.close_idle(worker, Ending::ServerLeft);
+        }
+    }
+
+    fn close_idle(&self, worker: WorkerId, ending: Ending) {
+        let mut servers = self.servers.borrow_mut();
+        for (_, connection) in servers.get_mut(&worker).into_iter().flat_map(|s| s.idle.drain(..)) {
+            // One that has just ended by itself needs no telling.
+            let _ = connection.try_send(Task::Close(ending));
+        }
+    }
+
+    /// Close the connection that has been idle for longest, wherever it goes.
+    fn evict(&self) {
+        let mut servers = self.servers.borrow_mut();
+        let oldest = servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].0);
+        if let Some((_, connection)) = oldest.and_then(|s| s.idle.pop_front()) {
+            let _ = connection.try_send(Task::Close(Ending::Evicted));
+        }
+    }
+
+    fn report(&self, id: DispatchId, status: Status) {
+        self.out.borrow_mut().remove(&id);
+        self.exchange.ended(id, status);
+    }
+
+    /// Put an attempt on the idle connection used last, or on a new one.
+    fn dispatch(self: &Rc<Self>, worker: WorkerId, mut dispatch: Dispatch) {
+        let (address, active) = {
+            let mut servers = self.servers.borrow_mut();
+            let Some(server) = servers.get_mut(&worker) else {
+                drop(servers);
+                warn!("a dispatch to a server without an address was not made");
+                return self.report(dispatch.id, Status::ConnectFailed);
+            };
+            while let Some((_, connection)) = server.idle.pop_back() {
+                match connection.try_send(Task::Dispatch(dispatch)) {
+                    Ok(()) => return,
+                    Err(mpsc::error::TrySendError::Closed(Task::Dispatch(back)))
+                    | Err(mpsc::error::TrySendError::Full(Task::Dispatch(back))) => dispatch = back,
+                    Err(_) => return,
+                }
+            }
+            (server.address, server.active.subscribe())
+        };
+        if self.connections.get() >= self.bounds.connections {
+            // Guards against running out of descriptors. The place of one that is being evicted is
+            // free a moment later, so the bound is one over for that long.
+            let before = self.idle();
+            self.evict();
+            if before == 0 {
+                warn!("no connection is left for a dispatch");
+                return self.report(dispatch.id, Status::ConnectFailed);
+            }
+        }
+        self.connections.set(self.connections.get() + 1);
+        let backend = self.clone();
+        tokio::task::spawn_local(async move {
+            let (ending, messages, left) = backend.connection(worker, address, active, dispatch).await;
+            backend.connections.set(backend.connections.get() - 1);
+            ending.log(Side::Backend, address, messages);
+            // It was dead before anything was written to it, so this is no repeat.
+            if let Some(dispatch) = left {
+                backend.dispatch(worker, dispatch);
+            }
+        });
+    }
+
+    fn idle(&self) -> usize {
+        self.servers.borrow().values().map(|s| s.idle.len()).sum()
+    }
+
+    /// Open a connection and use it until it ends: why, after how many attempts, and an attempt that
+    /// was handed over too late to be written.
+    async fn connection(
+        self: &Rc<Self>,
+        worker: WorkerId,
+        address: SocketAddr,
+        mut active: watch::Receiver<bool>,
+        mut dispatch: Dispatch,
+    ) -> (Ending, u64, Option<Dispatch>) {
+        let mut connection = match self.connect(address, &mut active, &mut dispatch).await {
+            Ok(stream) => self.pool.framed::<Outgoing, _>(stream, ClientCodec::new(&self.pool, MAX_BODY)),
+            Err((status, ending)) => {
+                self.report(dispatch.id, status);
+                return (ending, 0, None);
+            }
+        };
+        let mut messages = 0;
+        let (ending, left) = loop {
+            messages += 1;
+            if let Some(ending) = self.attempt(&mut connection, &mut active, dispatch).await {
+                break (ending, None);
+            }
+            let (task, tasks) = mpsc::channel(1);
+            let number = self.parked.get();
+            self.parked.set(number + 1);
+            if let Some(server) = self.servers.borrow_mut().get_mut(&worker) {
+                server.idle.push_back((number, task));
+            }
+            match self.parked(&mut connection, tasks).await {
+                Ok(next) => dispatch = next,
+                Err(end) => {
+                    if let Some(server) = self.servers.borrow_mut().get_mut(&worker) {
+                        server.idle.retain(|(n, _)| *n != number);
+                    }
+                    break end;
+                }
+            }
+        };
+        self.pool.release(connection);
+        (ending, messages, left)
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        active: &mut watch::Receiver<bool>,
+        dispatch: &mut Dispatch,
+    ) -> Result<TcpStream, (Status, Ending)> {
+        let wait = (Instant::now() + self.bounds.connect_timeout).min(dispatch.until);
+        let stream = tokio::select! {
+            biased;
+            _ = &mut dispatch.cancelled => return Err((Status::Cancelled, Ending::Cancelled)),
+            () = left(active) => return Err((Status::Moot, Ending::ServerLeft)),
+            stream = TcpStream::connect(address) => stream,
+            () = self.deadlines.at(wait) => return Err((Status::ConnectFailed, Ending::ConnectTimeout)),
+        };
+        let stream = stream.and_then(|s| s.set_nodelay(true).map(|()| s));
+        stream.map_err(|e| {
+            debug!("connecting to {address}: {e}");
+            let remote = matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset);
+            (Status::ConnectFailed, if remote { Ending::Refused } else { Ending::NoSockets })
+        })
+    }
+
+    /// Wait on an idle connection for its next attempt, or why it ends.
+    async fn parked(
+        &self,
+        connection: &mut Connection,
+        mut tasks: mpsc::Receiver<Task>,
+    ) -> Result<Dispatch, (Ending, Option<Dispatch>)> {
+        let ending = tokio::select! {
+            biased;
+            // First, so that a connection known to be dead is never used again.
+            piece = connection.next() => match piece {
+                None | Some(Err(ReadError::Io(_))) => Ending::PeerClosed,
+                Some(_) => Ending::Malformed,
+            },
+            task = tasks.recv() => match task {
+                Some(Task::Dispatch(dispatch)) => return Ok(dispatch),
+                Some(Task::Close(ending)) => ending,
+                None => Ending::Shutdown,
+            },
+            () = self.deadlines.after(self.bounds.idle) => Ending::Idle,
+        };
+        tasks.close();
+        match tasks.try_recv() {
+            Ok(Task::Dispatch(dispatch)) => Err((ending, Some(dispatch))),
+            _ => Err((ending, None)),
+        }
+    }
+
+    /// Make one attempt and report its end; why the connection ends, if it does.
+    async fn attempt(
+        &self,
+        connection: &mut Connection,
+        active: &mut watch::Receiver<bool>,
+        mut dispatch: Dispatch,
+    ) -> Option<Ending> {
+        let id = dispatch.id;
+        let ended = match self.write(connection, active, &mut dispatch).await {
+            Err(end) => end,
+            Ok(()) => {
+                let answer = self.answer(connection, id, &dispatch.payload);
+                tokio::select! {
+                    biased;
+                    _ = &mut dispatch.cancelled => End::closing(Status::Cancelled, Ending::Cancelled),
+                    end = answer => end,
+                    () = self.deadlines.at(dispatch.until) => End::closing(Status::Timeout, Ending::TimedOut),
+                }
+            }
+        };
+        if ended.status != Status::Ok {
+            self.report(id, ended.status);
+        }
+        if let After::Ends(ending) = ended.after {
+            return Some(ending);
+        }
+        let tail = async {
+            loop {
+                match connection.next().await {
+                    Some(Ok(Piece::Line(_))) => {}
+                    Some(Ok(Piece::End { reusable: true })) => break None,
+                    Some(Ok(Piece::End { reusable: false })) => break Some(Ending::LastMessage),
+                    Some(Ok(Piece::Head { .. }) | Err(ReadError::Bad { .. })) => {
+                        break Some(Ending::Malformed)
+                    }
+                    None | Some(Err(ReadError::Io(_))) => break Some(Ending::PeerBroke),
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            ending = tail => ending,
+            () = self.deadlines.after(TAIL) => Some(Ending::TooSlow),
+        }
+    }
+
+    /// Write a request whole. Until its last byte is written nothing can have run.
+    async fn write(
+        &self,
+        connection: &mut Connection,
+        active: &mut watch::Receiver<bool>,
+        dispatch: &mut Dispatch,
+    ) -> Result<(), End> {
+        // Guards drains: nothing is begun once the server is known to leave.
+        if !*active.borrow() {
+            return Err(End::closing(Status::Moot, Ending::ServerLeft));
+        }
+        let job = &dispatch.payload;
+        let left = dispatch.until.saturating_duration_since(Instant::now());
+        let mut fields = format!("Host: {}\r\nRequest-Id: {}\r\n", job.host, job.id);
+        fields.push_str(&format!("Request-Timeout: {}u\r\n", left.as_micros().max(1)));
+        if let Some(tenant) = &job.tenant {
+            fields.push_str(&format!("Tenant: {tenant}\r\n"));
+        }
+        let request = Outgoing { method: "POST", target: &job.target, fields, body: Some(&job.body) };
+        tokio::select! {
+            biased;
+            _ = &mut dispatch.cancelled => Err(End::closing(Status::Cancelled, Ending::Cancelled)),
+            sent = connection.send(request) => sent.map_err(|e| {
+                debug!("writing a dispatch: {e}");
+                End::closing(Status::ConnectFailed, Ending::PeerBroke)
+            }),
+            () = self.deadlines.at(dispatch.until) => {
+                Err(End::closing(Status::ConnectFailed, Ending::TooSlow))
+            }
+        }
+    }
+
+    /// Read the answer up to what ends the attempt.
+    async fn answer(&self, connection: &mut Connection, id: DispatchId, job: &Job) -> End {
+        let nonsense = |reason: &str| {
+            warn!("a backend server's answer to {} makes no sense: {reason}", job.id);
+            End::closing(Status::Error, Ending::Malformed)
+        };
+        loop {
+            match connection.next().await {
+                Some(Ok(Piece::Head { status: 200, .. })) => {}
+                Some(Ok(Piece::Head { status, fields })) => {
+                    debug!("a backend server answered {} with {status}", job.id);
+                    let unstarted = matches!(fields.get("not-started"), Ok(Some("1")));
+                    let status = match status {
+                        503 | 504 if unstarted => Status::Full,
+                        _ => Status::Error,
+                    };
+                    return End { status, after: After::Tail };
+                }
+                Some(Ok(Piece::Line(line))) => match self.line(id, job, &line) {
+                    Ok(None) => {}
+                    Ok(Some(status)) => return End { status, after: After::Tail },
+                    Err(reason) => return nonsense(&reason),
+                },
+                Some(Err(ReadError::Bad { reason, .. })) => return nonsense(reason),
+                Some(Ok(Piece::End { .. })) | Some(Err(ReadError::Io(_))) | None => {
+                    return End::closing(Status::Reset, Ending::PeerBroke)
+                }
+            }
+        }
+    }
+
+    /// Take a line of the answer in: how the attempt has ended, if it tells that.
+    fn line(&self, id: DispatchId, job: &Job, text: &[u8]) -> Result<Option<Status>, String> {
+        if text.trim_ascii().is_empty() {
+            return Ok(None);
+        }
+        let line: Line = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        // Guards against passing on what was made for another request.
+        if line.id != job.id {
+            return Err(format!("it is about '{}'", line.id));
+        }
+        Ok(match line.state {
+            State::Started => {
+                self.exchange.started(id);
+                None
+            }
+            State::Running => {
+                self.exchange.progress(id, line.share.unwrap_or(0.0));
+                None
+            }
+            State::Done => {
+                let result = line.result.ok_or("it is done without a result")?;
+                self.out.borrow_mut().remove(&id);
+                self.exchange.served(id, result.into_bytes());
+                Some(Status::Ok)
+            }
+            State::Failed => Some(Status::Error),
+            State::Returned => Some(Status::Full),
+            State::Lost => Some(Status::Reset),
+        })
+    }
+}
+
+/// Ready once the server may no longer be sent anything new.
+fn left(active: &mut watch::Receiver<bool>) -> impl Future<Output = ()> + '_ {
+    async {
+        let _ = active.wait_for(|active| !active).await;
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,154 @@
+//! What the node is told as it starts: a JSON file, and variables that take its place.
+
+use super::server_table::{EntryError, Listing};
+use crate::settings::Setup;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Descriptors that are neither a client's nor a backend server's: the listener, discovery, the
+/// runtime's own, the standard streams and some to spare.
+const OWN_SOCKETS: usize = 48;
+
+/// All that the node is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What it may use.
+    pub limits: Limits,
+    /// The list of backend servers as last held.
+    pub known: Listing,
+    /// The settings object.
+    pub setup: Setup,
+}
+
+/// What the node may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory, in MiB.
+    pub memory_mb: usize,
+    /// Open descriptors.
+    pub sockets: usize,
+}
+
+impl Limits {
+    /// How many connections both sides may hold together. Each may fill three buffers.
+    fn connections(&self) -> usize {
+        let by_memory = (self.memory_mb * 1024 * 1024 / 10 * 7) / (3 * super::pool::SIZE);
+        self.sockets.saturating_sub(OWN_SOCKETS).min(by_memory)
+    }
+    /// How many connections clients may hold.
+    pub fn frontend(&self) -> usize {
+        (self.connections() * 3 / 5).max(1)
+    }
+    /// How many connections to backend servers may be open.
+    pub fn backend(&self) -> usize {
+        (self.connections() * 2 / 5).max(1)
+    }
+}
+
+/// Why a configuration can't be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// No file was named.
+    #[error("no configuration: name a file with --config or in ROUTER_CONFIG")]
+    Unnamed,
+    /// The file can't be read.
+    #[error("{}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not such an object.
+    #[error("{}: {source}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// A field's value is none.
+    #[error("'{field}' is no {wanted}: '{value}'")]
+    Value {
+        /// The field or variable.
+        field: &'static str,
+        /// What it should be.
+        wanted: &'static str,
+        /// What it is.
+        value: String,
+    },
+    /// A known backend server can't be used.
+    #[error("'known': {0}")]
+    Known(#[from] EntryError),
+    /// Nothing could be served.
+    #[error("'settings' names no classes")]
+    NoClasses,
+    /// There is no room for connections.
+    #[error("'limits.sockets' is {0}: at least {least} are needed", least = OWN_SOCKETS + 16)]
+    FewSockets(usize),
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: Listing,
+    settings: Setup,
+}
+
+impl Config {
+    /// Read the file; `variable` looks a variable of the environment up.
+    pub fn read(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let text = std::fs::read(path)
+            .map_err(|source| ConfigError::Unreadable { path: path.to_path_buf(), source })?;
+        let file: File = serde_json::from_slice(&text)
+            .map_err(|source| ConfigError::Malformed { path: path.to_path_buf(), source })?;
+        let address = |field, value: Option<String>, or: String| {
+            let value = value.unwrap_or(or);
+            let wrong = |_| ConfigError::Value { field, wanted: "address with a port", value: value.clone() };
+            value.parse().map_err(wrong)
+        };
+        let listen = address("listen", variable("ROUTER_LISTEN"), file.listen)?;
+        let discovery = address("discovery", variable("ROUTER_DISCOVERY"), file.discovery)?;
+        let seed = match file.seed.as_str() {
+            "" => 0,
+            text => u64::from_str_radix(text, 16).map_err(|_| ConfigError::Value {
+                field: "seed",
+                wanted: "hexadecimal number of 64 bits",
+                value: text.to_string(),
+            })?,
+        };
+        file.known.check()?;
+        if !file.settings.names_classes() {
+            return Err(ConfigError::NoClasses);
+        }
+        if file.limits.sockets < OWN_SOCKETS + 16 {
+            return Err(ConfigError::FewSockets(file.limits.sockets));
+        }
+        Ok(Config {
+            name: variable("ROUTER_NAME").unwrap_or(file.name),
+            listen,
+            discovery,
+            seed,
+            limits: file.limits,
+            known: file.known,
+            setup: file.settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/ending.rs
@@ -0,0 +1,92 @@
+//! Why connections end: each one that does leaves one log line with the code of its reason.
+
+use std::fmt;
+use std::net::SocketAddr;
+use tracing::info;
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The other side closed it between messages.
+    PeerClosed,
+    /// The other side closed or broke it inside a message, or while it was owed one.
+    PeerBroke,
+    /// It had been idle for as long as we keep one.
+    Idle,
+    /// An idle one had to go so that another could be opened.
+    Evicted,
+    /// This node is shutting down.
+    Shutdown,
+    /// One side asked for the end after a message.
+    LastMessage,
+    /// What came was malformed.
+    Malformed,
+    /// A message was not complete, or not taken, in time.
+    TooSlow,
+    /// It was refused.
+    Refused,
+    /// It did not come up in time.
+    ConnectTimeout,
+    /// There was no descriptor or address left for it.
+    NoSockets,
+    /// Its dispatch was called off.
+    Cancelled,
+    /// Its dispatch brought no answer in time.
+    TimedOut,
+    /// The server table no longer holds its backend server as active.
+    ServerLeft,
+    /// The decisions asked for idle ones to be closed.
+    ClosedIdle,
+    /// Nothing came for longer than the other side may be silent.
+    Silent,
+}
+
+impl Ending {
+    /// The code in the log.
+    pub fn code(self) -> &'static str {
+        match self {
+            Ending::PeerClosed => "peer-closed",
+            Ending::PeerBroke => "peer-broke",
+            Ending::Idle => "idle",
+            Ending::Evicted => "evicted",
+            Ending::Shutdown => "shutdown",
+            Ending::LastMessage => "last-message",
+            Ending::Malformed => "malformed",
+            Ending::TooSlow => "too-slow",
+            Ending::Refused => "refused",
+            Ending::ConnectTimeout => "connect-timeout",
+            Ending::NoSockets => "no-sockets",
+            Ending::Cancelled => "cancelled",
+            Ending::TimedOut => "timed-out",
+            Ending::ServerLeft => "server-left",
+            Ending::ClosedIdle => "closed-idle",
+            Ending::Silent => "silent",
+        }
+    }
+
+    /// Leave the one line for a connection that has ended.
+    pub fn log(self, side: Side, peer: SocketAddr, messages: u64) {
+        info!("end {side} {peer} reason={} messages={messages}", self.code());
+    }
+}
+
+/// Which component a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// To a client.
+    Frontend,
+    /// To a backend server.
+    Backend,
+    /// To discovery.
+    ServerTable,
+}
+
+impl fmt::Display for Side {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Side::Frontend => "frontend",
+            Side::Backend => "backend",
+            Side::ServerTable => "server-table",
+        })
+    }
+}
--- /dev/null
+++ b/src/net/exchange.rs
@@ -0,0 +1,407 @@
+//! The one object in which frontend and backend meet. It drives the decision module: what either
+//! side reports goes in as an event, and what the module decides goes out as an answer to the
+//! frontend or an order to the backend. Payloads pass through unseen, so that any protocol can be put
+//! before the same decisions.
+
+use super::deadlines::Deadlines;
+use crate::api::*;
+use crate::settings::{mark, Catalogue, Setup};
+use crate::Balancer;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tracing::{debug, warn};
+
+/// An answer leaves this much before the client gives up: it still has to arrive.
+const MARGIN: Duration = Duration::from_millis(10);
+
+/// A request, as far as the decisions need it.
+#[derive(Debug)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are tenants.
+    pub tenant: Option<TenantId>,
+    /// What it is about, where it says so.
+    pub key: Option<String>,
+    /// When it had come.
+    pub arrived: Instant,
+    /// How long the client waits from then on.
+    pub patience: Duration,
+    /// Slots that it takes.
+    pub slots: u32,
+    /// A client's repeat.
+    pub repeat: bool,
+}
+
+/// The final answer to a request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A backend server made this result for it.
+    Served(Vec<u8>),
+    /// Denied: trying again is harmless.
+    Denied {
+        /// How long the client should stay away.
+        retry_after: Option<Duration>,
+    },
+    /// Failed, no promise.
+    Failed,
+}
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct DispatchId {
+    /// The request.
+    pub request: RequestId,
+    /// The number of the attempt.
+    pub attempt: u32,
+}
+
+/// What the backend is to do.
+#[derive(Debug)]
+pub enum Order<P> {
+    /// Make one attempt.
+    Dispatch {
+        /// Which.
+        id: DispatchId,
+        /// The backend server.
+        worker: WorkerId,
+        /// What to send.
+        payload: Rc<P>,
+        /// When to stop waiting.
+        until: Instant,
+    },
+    /// Call an attempt off.
+    Cancel(DispatchId),
+    /// Close the idle connections to a backend server.
+    CloseIdle(WorkerId),
+    /// Where a backend server is, and whether it may be sent anything new.
+    Server {
+        /// Which.
+        worker: WorkerId,
+        /// Where; `None` if that is as before.
+        address: Option<SocketAddr>,
+        /// Whether it is active.
+        active: bool,
+    },
+}
+
+/// One entry of the server table.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its name, the same at every node.
+    pub name: String,
+    /// Where it is reached; not told of one that is gone.
+    pub address: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its size.
+    pub size: f64,
+    /// Where it stands.
+    pub standing: Standing,
+    /// When it last started, in Unix time; 0 for long ago.
+    pub started: Micros,
+}
+
+/// The time as the module counts it: Unix time as the node started, carried on by the steady clock.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    origin: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+    fn now(&self) -> Micros {
+        self.unix + self.origin.elapsed().as_micros() as Micros
+    }
+}
+
+#[derive(Debug)]
+struct Taken<P> {
+    payload: Rc<P>,
+    until: Instant,
+    attempts: u32,
+    answer: oneshot::Sender<Verdict>,
+}
+
+#[derive(Debug)]
+struct Inner<P> {
+    balancer: Balancer,
+    names: Catalogue,
+    clock: Clock,
+    open: HashMap<RequestId, Taken<P>>,
+    taken: u64,
+    active: HashMap<WorkerId, bool>,
+    orders: mpsc::UnboundedSender<Order<P>>,
+    wake: Option<Instant>,
+}
+
+/// Where frontend and backend meet.
+#[derive(Debug)]
+pub struct Exchange<P> {
+    inner: RefCell<Inner<P>>,
+    deadlines: Rc<Deadlines>,
+    rearmed: Notify,
+}
+
+impl<P> Exchange<P> {
+    /// An exchange that knows no servers yet, and the orders that it will give.
+    pub fn new(
+        setup: &Setup,
+        seed: u64,
+        deadlines: Rc<Deadlines>,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<Order<P>>) {
+        let (settings, names) = setup.read();
+        let (orders, given) = mpsc::unbounded_channel();
+        let inner = Inner {
+            balancer: Balancer::new(settings, seed),
+            names,
+            clock: Clock::start(),
+            open: HashMap::new(),
+            taken: 0,
+            active: HashMap::new(),
+            orders,
+            wake: None,
+        };
+        (Rc::new(Exchange { inner: RefCell::new(inner), deadlines, rearmed: Notify::new() }), given)
+    }
+
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.inner.borrow().names.classes.get(name).map(|n| ClassId(n as usize))
+    }
+
+    /// The tenant of that name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.inner.borrow().names.tenants.get(name).map(|n| TenantId(n as usize))
+    }
+
+    /// Whether the settings name tenants.
+    pub fn has_tenants(&self) -> bool {
+        self.inner.borrow().names.tenants.name(0).is_some()
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.inner.borrow().open.len()
+    }
+
+    /// Take a request. The ticket brings its one final answer; dropped before, the client is gone.
+    pub fn take(self: &Rc<Self>, ask: Ask, payload: P) -> Ticket<P> {
+        let (answer, answered) = oneshot::channel();
+        let margin = MARGIN.min(ask.patience / 4);
+        let until = ask.arrived + ask.patience - margin;
+        let id = {
+            let mut inner = self.inner.borrow_mut();
+            inner.taken += 1;
+            let id = RequestId(inner.taken);
+            inner.open.insert(id, Taken { payload: Rc::new(payload), until, attempts: 0, answer });
+            id
+        };
+        let time_left = until.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        self.tell(Event::Request(Request {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            key: ask.key.as_deref().map(|k| KeyId(mark(k))),
+            time_left,
+            hint: None,
+            slots: ask.slots,
+            repeat: ask.repeat,
+        }));
+        Ticket { exchange: self.clone(), id, answered, overdue: until + margin / 2 }
+    }
+
+    /// The job of an attempt has started.
+    pub fn started(&self, id: DispatchId) {
+        self.tell(Event::Started { id: id.request, attempt: id.attempt });
+    }
+
+    /// The job of an attempt has got this far.
+    pub fn progress(&self, id: DispatchId, done: f64) {
+        self.tell(Event::Progress { id: id.request, attempt: id.attempt, done });
+    }
+
+    /// An attempt was served with this result. The first one is the request's answer.
+    pub fn served(&self, id: DispatchId, result: Vec<u8>) {
+        let taken = self.inner.borrow_mut().open.remove(&id.request);
+        if let Some(taken) = taken {
+            // A client that has just gone has no use for it.
+            let _ = taken.answer.send(Verdict::Served(result));
+        }
+        self.ended(id, Status::Ok);
+    }
+
+    /// An attempt has ended, without a result if that is not told by [`Exchange::served`].
+    pub fn ended(&self, id: DispatchId, status: Status) {
+        let settled = !self.inner.borrow().open.contains_key(&id.request);
+        debug!("dispatch {}.{} ended {status:?} settled={settled}", id.request.0, id.attempt);
+        self.tell(Event::Outcome { id: id.request, attempt: id.attempt, status, settled });
+    }
+
+    /// The server table has changed, or is all of this.
+    pub fn servers(&self, list: Vec<Server>, whole: bool) {
+        let members = self.inner.borrow_mut().members(list, whole);
+        self.tell(if whole { Event::Roster(members) } else { Event::RosterChange(members) });
+    }
+
+    /// Hand the module its wake-ups, for as long as the node runs.
+    pub async fn wake(&self) {
+        loop {
+            let due = self.inner.borrow().wake;
+            match due {
+                Some(at) => tokio::select! {
+                    () = self.deadlines.at(at) => {
+                        self.inner.borrow_mut().wake = None;
+                        self.tell(Event::Wake);
+                    }
+                    () = self.rearmed.notified() => {}
+                },
+                None => self.rearmed.notified().await,
+            }
+        }
+    }
+
+    /// The frontend has waited for a request's answer too long, or its client has gone.
+    fn abandon(&self, id: RequestId) {
+        let open = self.inner.borrow_mut().open.remove(&id).is_some();
+        if open {
+            self.tell(Event::Gone(id));
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        let mut inner = self.inner.borrow_mut();
+        let before = inner.wake;
+        inner.tell(event);
+        if inner.wake != before {
+            self.rearmed.notify_one();
+        }
+    }
+}
+
+impl<P> Inner<P> {
+    fn tell(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            let now = self.clock.now();
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.act(action));
+            }
+        }
+    }
+
+    /// Carry an action out; what could not be, the module is told at once.
+    fn act(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { id, worker } => {
+                let Some(taken) = self.open.get_mut(&id) else {
+                    warn!("a dispatch of request {}, which is over, was not made", id.0);
+                    return Some(Event::Outcome { id, attempt: 0, status: Status::Moot, settled: true });
+                };
+                let dispatch = DispatchId { request: id, attempt: taken.attempts };
+                taken.attempts += 1;
+                let (payload, until) = (taken.payload.clone(), taken.until);
+                self.order(Order::Dispatch { id: dispatch, worker, payload, until });
+            }
+            Action::Refuse { id, retry_after } => {
+                let retry_after = retry_after.map(|t| Duration::from_micros(t.max(0) as u64));
+                self.answer(id, Verdict::Denied { retry_after });
+            }
+            Action::Fail { id } => self.answer(id, Verdict::Failed),
+            Action::Cancel { id, attempt } => self.order(Order::Cancel(DispatchId { request: id, attempt })),
+            Action::Wake { after } => {
+                let at = Instant::now() + Duration::from_micros(after.max(0) as u64);
+                self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+            }
+            Action::CloseIdle { worker } => self.order(Order::CloseIdle(worker)),
+            // The watch on discovery is always kept open, and nodes have no way to tell each other.
+            Action::Subscribe | Action::Tell { .. } => {}
+        }
+        None
+    }
+
+    fn answer(&mut self, id: RequestId, verdict: Verdict) {
+        if let Some(taken) = self.open.remove(&id) {
+            let _ = taken.answer.send(verdict);
+        }
+    }
+
+    fn order(&mut self, order: Order<P>) {
+        if self.orders.send(order).is_err() {
+            warn!("the backend has ended: an order was lost");
+        }
+    }
+
+    fn members(&mut self, list: Vec<Server>, whole: bool) -> Vec<Member> {
+        let mut members = Vec::with_capacity(list.len());
+        for server in list {
+            let worker = WorkerId(self.names.workers.number(&server.name));
+            members.push(Member {
+                worker,
+                mark: mark(&server.name),
+                kind: KindId(self.names.kinds.number(&server.kind)),
+                zone: ZoneId(self.names.zones.number(&server.zone)),
+                cell: server.cell,
+                scale: server.size,
+                standing: server.standing,
+                started: server.started,
+            });
+            self.server(worker, server.address, server.standing == Standing::Live);
+        }
+        if whole {
+            let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
+            let left: Vec<_> = self.active.keys().copied().filter(|w| !listed(w)).collect();
+            left.into_iter().for_each(|worker| self.server(worker, None, false));
+        }
+        members
+    }
+
+    fn server(&mut self, worker: WorkerId, address: Option<SocketAddr>, active: bool) {
+        self.active.insert(worker, active);
+        self.order(Order::Server { worker, address, active });
+    }
+}
+
+/// A request that was taken.
+#[derive(Debug)]
+pub struct Ticket<P> {
+    exchange: Rc<Exchange<P>>,
+    id: RequestId,
+    answered: oneshot::Receiver<Verdict>,
+    overdue: Instant,
+}
+
+impl<P> Ticket<P> {
+    /// Its final answer, in time.
+    pub async fn verdict(&mut self) -> Verdict {
+        tokio::select! {
+            biased;
+            verdict = &mut self.answered => verdict.unwrap_or(Verdict::Failed),
+            // Guards against a request that the module has lost: the client is answered all the same.
+            () = self.exchange.deadlines.at(self.overdue) => {
+                warn!("request {} was overdue", self.id.0);
+                Verdict::Failed
+            }
+        }
+    }
+}
+
+impl<P> Drop for Ticket<P> {
+    fn drop(&mut self) {
+        self.exchange.abandon(self.id);
+    }
+}
--- /dev/null
+++ b/src/net/frontend.rs
@@ -0,0 +1,396 @@
+//! The frontend: connections from clients, and what they ask for. Jobs go to the exchange; all else
+//! is answered here.
+
+use super::codec::{Answer, FrontendCodec, Incoming, ReadError, Request};
+use super::deadlines::Deadlines;
+use super::ending::{Ending, Side};
+use super::exchange::{Ask, Exchange, Ticket, Verdict};
+use super::pool::Pool;
+use super::Job;
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch, Notify};
+use tokio_util::codec::Framed;
+use tracing::warn;
+
+/// How long a connection may stand idle, and a request may take to come.
+const IDLE: Duration = Duration::from_secs(60);
+/// How long a client may take to read its answer.
+const WRITE: Duration = Duration::from_secs(10);
+/// How long what a client still sends is read after the last answer, so that it sees that answer.
+const LINGER: Duration = Duration::from_millis(500);
+/// The pause after a connection could not be accepted.
+const PAUSE: Duration = Duration::from_millis(10);
+
+type Connection = Framed<TcpStream, FrontendCodec>;
+
+/// How far the node has come with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Serving,
+    /// Served as before, but no longer healthy.
+    Leaving,
+    /// Nothing new is taken.
+    Closing,
+}
+
+/// The connections from clients.
+#[derive(Debug)]
+pub struct Frontend {
+    exchange: Rc<Exchange<Job>>,
+    deadlines: Rc<Deadlines>,
+    pool: Rc<Pool>,
+    most: usize,
+    connections: Cell<usize>,
+    /// Changes whenever a connection has ended.
+    ended: Notify,
+    /// What closes the idle ones, the one that has been idle for longest first.
+    idle: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+    idled: Cell<u64>,
+    stage: watch::Sender<Stage>,
+}
+
+/// What a request is answered with, or what brings its answer.
+enum Reply {
+    Now(Answer),
+    Later(Ticket<Job>),
+}
+
+impl Frontend {
+    /// A frontend with so many connections at most.
+    pub fn new(
+        exchange: Rc<Exchange<Job>>,
+        deadlines: Rc<Deadlines>,
+        pool: Rc<Pool>,
+        most: usize,
+    ) -> Rc<Self> {
+        Rc::new(Frontend {
+            exchange,
+            deadlines,
+            pool,
+            most,
+            connections: Cell::new(0),
+            ended: Notify::new(),
+            idle: RefCell::default(),
+            idled: Cell::new(0),
+            stage: watch::channel(Stage::Serving).0,
+        })
+    }
+
+    /// The node is going to stop: it is no longer healthy, but serves as before.
+    pub fn leave(&self) {
+        self.stage.send_replace(Stage::Leaving);
+    }
+
+    /// Take nothing new: idle connections close, the others after their answer.
+    pub fn close(&self) {
+        self.stage.send_replace(Stage::Closing);
+    }
+
+    /// Ready once all connections have ended.
+    pub async fn ended(&self) {
+        while self.connections.get() > 0 {
+            self.ended.notified().await;
+        }
+    }
+
+    /// Accept connections until told to close.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let mut stage = self.stage.subscribe();
+        loop {
+            let full = self.connections.get() >= self.most && !self.evict();
+            let accepted = tokio::select! {
+                biased;
+                // All that waits is taken before the listener closes: its requests may have come.
+                accepted = listener.accept(), if !full => accepted,
+                () = self.ended.notified(), if full => continue,
+                _ = stage.wait_for(|s| *s == Stage::Closing) => return,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.serve(stream, peer),
+                // Guards against running out of descriptors: it passes, and must not spin or end us.
+                Err(e) => {
+                    warn!("accepting: {e}");
+                    self.evict();
+                    self.deadlines.after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Close the connection that has been idle for longest, if there is one.
+    fn evict(&self) -> bool {
+        let oldest = self.idle.borrow_mut().pop_first();
+        oldest.is_some_and(|(_, close)| close.send(()).is_ok())
+    }
+
+    fn serve(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        self.connections.set(self.connections.get() + 1);
+        let frontend = self.clone();
+        tokio::task::spawn_local(async move {
+            // Without it answers only come later.
+            let _ = stream.set_nodelay(true);
+            let mut connection =
+                frontend.pool.framed::<Answer, _>(stream, FrontendCodec::new(&frontend.pool));
+            let mut messages = 0;
+            let ending = frontend.connection(&mut connection, &mut messages).await;
+            if matches!(ending, Ending::LastMessage | Ending::Malformed | Ending::Shutdown | Ending::TooSlow)
+            {
+                frontend.linger(connection.get_mut()).await;
+            }
+            frontend.pool.release(connection);
+            ending.log(Side::Frontend, peer, messages);
+            frontend.connections.set(frontend.connections.get() - 1);
+            frontend.ended.notify_one();
+        });
+    }
+
+    /// End the sending and read on for a moment: a socket closed over unread bytes is reset, which
+    /// can cost the client the answer that it was just sent.
+    async fn linger(&self, stream: &mut TcpStream) {
+        if stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut scrap = [0; 4096];
+        let rest = async { while matches!(stream.read(&mut scrap).await, Ok(n) if n > 0) {} };
+        tokio::select! {
+            () = rest => {}
+            () = self.deadlines.after(LINGER) => {}
+        }
+    }
+
+    /// Answer requests, one at a time, until the connection ends.
+    async fn connection(&self, connection: &mut Connection, messages: &mut u64) -> Ending {
+        let mut next = None;
+        loop {
+            let item = match next.take() {
+                Some(item) => Ok(item),
+                None => self.next(connection).await,
+            };
+            let request = match item {
+                Err(ending) => {
+                    if ending == Ending::TooSlow {
+                        let _ = self
+                            .write(connection, Answer::text(408, "the request took too long", true))
+                            .await;
+                    }
+                    return ending;
+                }
+                Ok(None) | Ok(Some(Err(ReadError::Io(_)))) => {
+                    let broke = connection.codec().is_partial() || !connection.read_buffer().is_empty();
+                    return if broke { Ending::PeerBroke } else { Ending::PeerClosed };
+                }
+                Ok(Some(Err(ReadError::Bad { status, reason }))) => {
+                    let _ = self.write(connection, Answer::text(status, reason, true)).await;
+                    return Ending::Malformed;
+                }
+                Ok(Some(Ok(Incoming::Expects))) => {
+                    if let Err(ending) = self.write(connection, Answer::Continue).await {
+                        return ending;
+                    }
+                    continue;
+                }
+                Ok(Some(Ok(Incoming::Request(request)))) => request,
+            };
+            *messages += 1;
+            let keep_alive = request.keep_alive;
+            let answer = match self.reply(request) {
+                Reply::Now(answer) => answer,
+                Reply::Later(mut ticket) => {
+                    let verdict = {
+                        let verdict = std::pin::pin!(ticket.verdict());
+                        let mut verdict = verdict.fuse();
+                        loop {
+                            tokio::select! {
+                                biased;
+                                verdict = &mut verdict => break Some(verdict),
+                                item = connection.next(), if next.is_none() => match item {
+                                    // The client has gone: dropping the ticket tells the exchange.
+                                    None | Some(Err(ReadError::Io(_))) => break None,
+                                    // It has sent its next request already.
+                                    item => next = Some(item),
+                                },
+                            }
+                        }
+                    };
+                    match verdict {
+                        Some(verdict) => answer_to(verdict),
+                        None => return Ending::PeerBroke,
+                    }
+                }
+            };
+            let closing = *self.stage.borrow() == Stage::Closing;
+            let last = !keep_alive || closing;
+            if let Err(ending) = self.write(connection, last_if(answer, last)).await {
+                return ending;
+            }
+            if last {
+                return if closing { Ending::Shutdown } else { Ending::LastMessage };
+            }
+        }
+    }
+
+    /// The next thing that comes, or why the connection ends without one.
+    async fn next(&self, connection: &mut Connection) -> Result<Option<Result<Incoming, ReadError>>, Ending> {
+        let number = self.idled.get();
+        self.idled.set(number + 1);
+        let (close, mut closed) = oneshot::channel();
+        self.idle.borrow_mut().insert(number, close);
+        let mut stage = self.stage.subscribe();
+        let idle = self.deadlines.after(IDLE);
+        let mut ending = None;
+        let mut idle = std::pin::pin!(idle);
+        let item = loop {
+            // What has come is read before anything closes the connection.
+            let over = tokio::select! {
+                biased;
+                item = connection.next() => break Ok(item),
+                _ = &mut closed, if ending.is_none() => Ending::Evicted,
+                _ = stage.wait_for(|s| *s == Stage::Closing), if ending.is_none() => Ending::Shutdown,
+                () = &mut idle => Ending::Idle,
+            };
+            // One on which a request has begun is not idle: it may go on until its time is up.
+            let partial = connection.codec().is_partial() || !connection.read_buffer().is_empty();
+            match (partial, over) {
+                (false, over) => break Err(over),
+                (true, Ending::Idle) => break Err(Ending::TooSlow),
+                (true, over) => ending = Some(over),
+            }
+        };
+        self.idle.borrow_mut().remove(&number);
+        item
+    }
+
+    async fn write(&self, connection: &mut Connection, answer: Answer) -> Result<(), Ending> {
+        tokio::select! {
+            biased;
+            sent = connection.send(answer) => sent.map_err(|_| Ending::PeerBroke),
+            () = self.deadlines.after(WRITE) => Err(Ending::TooSlow),
+        }
+    }
+
+    /// What is to be done about a request.
+    fn reply(&self, request: Request) -> Reply {
+        let path = request.target.split('?').next().unwrap_or("");
+        if path == "/_health" {
+            return Reply::Now(self.health(&request));
+        }
+        match self.job(request) {
+            Ok((ask, job)) => Reply::Later(self.exchange.take(ask, job)),
+            Err(answer) => Reply::Now(answer),
+        }
+    }
+
+    fn health(&self, request: &Request) -> Answer {
+        let healthy = *self.stage.borrow() == Stage::Serving;
+        let (status, text) = if healthy { (200, "ok") } else { (503, "stopping") };
+        match request.method.as_str() {
+            "GET" => Answer::text(status, text, false),
+            "HEAD" => head_only(Answer::text(status, text, false)),
+            _ => not_allowed("GET, HEAD"),
+        }
+    }
+
+    /// The job that a request hands in, or why it is none.
+    fn job(&self, request: Request) -> Result<(Ask, Job), Answer> {
+        let malformed = |reason: &str| Answer::text(400, reason, false);
+        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        let name = path.strip_prefix('/').map(|p| p.split('/').next().unwrap_or(p));
+        let class = name.and_then(|n| self.exchange.class(n));
+        let Some(class) = class else { return Err(Answer::text(404, "no such class", false)) };
+        if request.method != "POST" {
+            return Err(not_allowed("POST"));
+        }
+        let field = |name: &str| match request.fields.get(name) {
+            Ok(value) => Ok(value.filter(|v| !v.is_empty())),
+            Err(e) => Err(malformed(&e.to_string())),
+        };
+        let id = field("request-id")?.ok_or_else(|| malformed("no Request-Id"))?.to_string();
+        let patience = field("request-timeout")?.ok_or_else(|| malformed("no Request-Timeout"))?;
+        let patience = timeout(patience).ok_or_else(|| malformed("Request-Timeout is no time"))?;
+        let tenant = field("tenant")?.map(str::to_string);
+        let number = tenant.as_deref().and_then(|t| self.exchange.tenant(t));
+        if self.exchange.has_tenants() && number.is_none() {
+            return Err(malformed("Tenant names no tenant"));
+        }
+        let slots = figure(field("request-info")?.unwrap_or(""), "slots").unwrap_or(1.0);
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let key = pairs.filter(|(name, _)| *name == "obj").map(|(_, value)| value.to_string()).next();
+        let ask = Ask {
+            class,
+            tenant: number,
+            key,
+            arrived: request.arrived,
+            patience,
+            slots: slots.clamp(1.0, 1e6) as u32,
+            repeat: field("client-retry")? == Some("1"),
+        };
+        let host = field("host")?.unwrap_or("").to_string();
+        Ok((ask, Job { host, id, tenant, target: request.target, body: request.body }))
+    }
+}
+
+/// The time that a client waits: a number with its unit.
+fn timeout(text: &str) -> Option<Duration> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number: f64 = number.parse().ok().filter(|n: &f64| n.is_finite() && *n > 0.0)?;
+    let seconds = match unit {
+        "m" => number / 1e3,
+        "u" => number / 1e6,
+        _ => return None,
+    };
+    // An hour is longer than anything that is waited for.
+    Some(Duration::from_secs_f64(seconds.min(3600.0)))
+}
+
+/// One of the figures `name=value,name=value`.
+fn figure(text: &str, name: &str) -> Option<f64> {
+    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+    let found = pairs.filter(|(n, _)| n.trim() == name).find_map(|(_, value)| value.trim().parse().ok());
+    found.filter(|n: &f64| n.is_finite())
+}
+
+fn not_allowed(methods: &str) -> Answer {
+    let mut answer = Answer::text(405, "method not allowed", false);
+    if let Answer::Full { fields, .. } = &mut answer {
+        *fields = format!("Allow: {methods}\r\n");
+    }
+    answer
+}
+
+fn head_only(mut answer: Answer) -> Answer {
+    if let Answer::Full { head_only, .. } = &mut answer {
+        *head_only = true;
+    }
+    answer
+}
+
+fn last_if(mut answer: Answer, last: bool) -> Answer {
+    if let Answer::Full { close, .. } = &mut answer {
+        *close |= last;
+    }
+    answer
+}
+
+/// The words of HTTP for a final answer.
+fn answer_to(verdict: Verdict) -> Answer {
+    match verdict {
+        Verdict::Served(body) => {
+            Answer::Full { status: 200, fields: String::new(), body, close: false, head_only: false }
+        }
+        Verdict::Denied { retry_after } => {
+            let mut answer = Answer::text(503, "denied: trying again is harmless", false);
+            if let (Answer::Full { fields, .. }, Some(t)) = (&mut answer, retry_after) {
+                *fields = format!("Retry-After: {:.3}\r\n", t.as_secs_f64());
+            }
+            answer
+        }
+        Verdict::Failed => Answer::text(502, "failed", false),
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,7 +32,6 @@
     cancel: bool,
     conn_idle_ms: f64,
     connect_timeout_ms: f64,
-    max_open: usize,
     max_retry_after_ms: f64,
     peers: bool,
     retry_after: bool,
@@ -174,9 +173,9 @@
         };
         (settings(self, &mut names.zones), names)
     }
-    /// How many requests may be open at once; 0 where there is no limit.
-    pub fn max_open(&self) -> usize {
-        self.allowed.max_open
+    /// Whether there is a class to serve.
+    pub fn names_classes(&self) -> bool {
+        !self.classes.is_empty()
     }
     /// How long a connection may take to come up.
     pub fn connect_timeout(&self) -> Micros {
