--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -12,7 +12,6 @@
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -482,8 +481,9 @@
 }
 
 /// Ready once the server may no longer be sent anything new.
-fn left(active: &mut watch::Receiver<bool>) -> impl Future<Output = ()> + '_ {
-    async {
-        let _ = active.wait_for(|active| !active).await;
+async fn left(active: &mut watch::Receiver<bool>) {
+    if active.wait_for(|active| !active).await.is_err() {
+        // A server is never taken out of the map, so it goes on being active.
+        std::future::pending::<()>().await;
     }
 }
