Test the real program as a process, and never wait full while one can go

Seen: with 60 clients and a limit of 13 the node stopped accepting for good (test limits_on_sockets_hold). Ruled out: descriptors (own limit, not the system's) and the eviction itself (never logged, so never tried). Cause: src/net/frontend.rs, accept(): a burst is accepted before any of its connections stands idle, so evict() finds none, and accept() then waited for an end only. It is now told of idle ones as well.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 use shorepath::net::config::{Config, ConfigError};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing::Level;
 
 /// A node that takes jobs from clients and dispatches them to backend servers
 #[derive(Clone, Debug, Bpaf)]
@@ -12,6 +13,9 @@
     /// Serve clients until told to stop by SIGTERM or SIGINT
     #[bpaf(command)]
     Serve {
+        /// Log what becomes of each dispatch, too
+        #[bpaf(long, short)]
+        verbose: bool,
         /// The configuration, a JSON file
         #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
         config: Option<PathBuf>,
@@ -34,9 +38,14 @@
 
 fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
     match command {
-        Command::Serve { config } => {
+        Command::Serve { verbose, config } => {
             let config = read(config)?;
-            tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+            let level = if verbose { Level::DEBUG } else { Level::INFO };
+            tracing_subscriber::fmt()
+                .with_max_level(level)
+                .with_writer(std::io::stderr)
+                .with_target(false)
+                .init();
             shorepath::net::serve(config)?;
         }
         Command::Check { config } => {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -211,6 +211,7 @@
                 warn!("a dispatch to a server without an address was not made");
                 return self.report(dispatch.id, Status::ConnectFailed);
             };
+            debug!("dispatch {}.{} to {}", dispatch.id.request.0, dispatch.id.attempt, server.address);
             while let Some((_, connection)) = server.idle.pop_back() {
                 match connection.try_send(Task::Dispatch(dispatch)) {
                     Ok(()) => return,
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -48,8 +48,8 @@
     pool: Rc<Pool>,
     most: usize,
     connections: Cell<usize>,
-    /// Changes whenever a connection has ended.
-    ended: Notify,
+    /// Told whenever a connection has ended or become idle.
+    changed: Notify,
     /// What closes the idle ones, the one that has been idle for longest first.
     idle: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
     idled: Cell<u64>,
@@ -76,7 +76,7 @@
             pool,
             most,
             connections: Cell::new(0),
-            ended: Notify::new(),
+            changed: Notify::new(),
             idle: RefCell::default(),
             idled: Cell::new(0),
             stage: watch::channel(Stage::Serving).0,
@@ -96,7 +96,7 @@
     /// Ready once all connections have ended.
     pub async fn ended(&self) {
         while self.connections.get() > 0 {
-            self.ended.notified().await;
+            self.changed.notified().await;
         }
     }
 
@@ -109,7 +109,7 @@
                 biased;
                 // All that waits is taken before the listener closes: its requests may have come.
                 accepted = listener.accept(), if !full => accepted,
-                () = self.ended.notified(), if full => continue,
+                () = self.changed.notified(), if full => continue,
                 _ = stage.wait_for(|s| *s == Stage::Closing) => return,
             };
             match accepted {
@@ -147,7 +147,7 @@
             frontend.pool.release(connection);
             ending.log(Side::Frontend, peer, messages);
             frontend.connections.set(frontend.connections.get() - 1);
-            frontend.ended.notify_one();
+            frontend.changed.notify_one();
         });
     }
 
@@ -242,6 +242,9 @@
         self.idled.set(number + 1);
         let (close, mut closed) = oneshot::channel();
         self.idle.borrow_mut().insert(number, close);
+        // Guards against a full node that waits for an end although one can be evicted: a burst is
+        // accepted before any of its connections has come to stand idle.
+        self.changed.notify_one();
         let mut stage = self.stage.subscribe();
         let idle = self.deadlines.after(IDLE);
         let mut ending = None;
@@ -260,7 +263,13 @@
             match (partial, over) {
                 (false, over) => break Err(over),
                 (true, Ending::Idle) => break Err(Ending::TooSlow),
-                (true, over) => ending = Some(over),
+                (true, over) => {
+                    // Guards the end of the node against a request that is never completed.
+                    if over == Ending::Shutdown {
+                        idle.set(self.deadlines.after(LINGER));
+                    }
+                    ending = Some(over);
+                }
             }
         };
         self.idle.borrow_mut().remove(&number);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -76,6 +76,7 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|source| ServeError::Listen { address: config.listen, source })?;
+    let address = listener.local_addr()?;
     let deadlines = Rc::new(Deadlines::default());
     let pool = Rc::new(Pool::default());
     let (exchange, orders) = Exchange::new(&config.setup, config.seed, deadlines.clone());
@@ -100,7 +101,7 @@
     spawn_local(backend.clone().run(orders));
     spawn_local(table.follow(config.known));
     let accepting = spawn_local(frontend.clone().accept(listener));
-    info!("{} serves on {}", config.name, config.listen);
+    info!("{} serves on {address}", config.name);
 
     tokio::select! {
         _ = terminate.recv() => {}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,429 @@
+//! The node as its neighbours see it: each test starts the program and speaks with it over sockets.
+
+mod support;
+
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// A node with one backend server and an empty table of troubles.
+fn pair() -> (Node, Party) {
+    let server = Party::new();
+    (Node::start(&config(&[server.address])), server)
+}
+
+#[rstest]
+fn a_job_goes_on_unchanged_and_its_result_comes_back() {
+    let (node, server) = pair();
+    let mut client = node.client();
+    client.send(&job("9b1f03aa5c7e2d41", "/zone-plan/x%20y?obj=7f3a&b=%2F", "5000m", "a body"));
+    let mut backend = server.accept();
+    let request = backend.message();
+    assert_eq!(request.first, "POST /zone-plan/x%20y?obj=7f3a&b=%2F HTTP/1.1");
+    assert_eq!(request.field("Request-Id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(request.body, "a body");
+    let timeout = request.field("Request-Timeout").and_then(|t| t.strip_suffix('u')).unwrap();
+    assert!((4_000_000..=5_000_000).contains(&timeout.parse::<u64>().unwrap()));
+    backend.serve("9b1f03aa5c7e2d41", "the \"result\"\n");
+    let answer = client.message();
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "the \"result\"\n"));
+    // Both connections are used again.
+    client.send(&job("b", "/zone-plan", "5000m", ""));
+    assert_eq!(backend.message().field("Request-Id"), Some("b"));
+    backend.serve("b", "2");
+    assert_eq!(client.message().body, "2");
+    assert!(server.is_left_alone());
+}
+
+/// What may have run is never dispatched again where that does harm.
+#[rstest]
+#[case::failed("{\"id\":\"a\",\"from\":\"s\",\"state\":\"failed\"}", "")]
+#[case::lost("{\"id\":\"a\",\"from\":\"s\",\"state\":\"lost\"}", "")]
+#[case::anothers("{\"id\":\"z\",\"from\":\"s\",\"state\":\"done\",\"result\":\"theirs\"}", "makes no sense")]
+#[case::no_result("{\"id\":\"a\",\"from\":\"s\",\"state\":\"done\"}", "makes no sense")]
+#[case::nonsense("{]", "makes no sense")]
+#[case::unknown_state("{\"id\":\"a\",\"from\":\"s\",\"state\":\"asleep\"}", "makes no sense")]
+fn a_line_that_is_no_result_fails_the_job(#[case] line: &str, #[case] logged: &str) {
+    let (node, server) = pair();
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    backend.begin();
+    backend.line(line);
+    assert_eq!(client.message().status(), 502);
+    if !logged.is_empty() {
+        node.logs(logged);
+        assert!(backend.ended());
+    }
+    assert!(server.is_left_alone());
+}
+
+#[rstest]
+#[case::error("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n")]
+#[case::busy_but_silent_on_it("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")]
+#[case::head_of_nonsense("SMTP ready\r\n\r\n")]
+#[case::ends_early("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::bad_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n")]
+#[case::breaks("")]
+fn an_answer_that_proves_nothing_fails_the_job(#[case] answer: &str) {
+    let (node, server) = pair();
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    backend.send(answer);
+    drop(backend);
+    assert_eq!(client.message().status(), 502);
+    assert!(server.is_left_alone());
+}
+
+/// What never ran may be dispatched again, whatever it does.
+#[rstest]
+#[case::status_503("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 2\r\n\r\nno")]
+#[case::status_504("HTTP/1.1 504 Late\r\nnot-started: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::returned(
+    "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"id\":\"a\",\"from\":\"s\",\"state\":\"returned\"}"
+)]
+fn a_job_turned_away_is_tried_again(#[case] answer: &str) {
+    let (node, server) = pair();
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    backend.send(answer);
+    assert_eq!(backend.message().field("Request-Id"), Some("a"), "on the same connection");
+    backend.serve("a", "done");
+    assert_eq!(client.message().body, "done");
+}
+
+#[rstest]
+fn a_refused_connection_is_told_and_logged() {
+    let server = Party::new();
+    let node = Node::start(&config(&[closed(), server.address]));
+    // Of so many at least one comes to the server that is not there, and none is lost by that.
+    for k in 0..12 {
+        let mut client = node.ask(&k.to_string(), "/actuator-cmd");
+        let mut backend = server.accept();
+        backend.message();
+        backend.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        backend.send(&format!("{}\n", json!({"id": k.to_string(), "state": "done", "result": "r"})));
+        drop(backend);
+        assert_eq!(client.message().status(), 200);
+    }
+    node.logs("reason=refused");
+}
+
+const HEAD: &str = "Host: h\r\nRequest-Id: a\r\nTenant: acme\r\nRequest-Timeout: 900m\r\n";
+
+#[rstest]
+#[case::no_http("hello\r\n\r\n", 400)]
+#[case::bad_header("POST /zone-plan HTTP/1.1\r\nHost h\r\n\r\n", 400)]
+#[case::no_host("GET /_health HTTP/1.1\r\n\r\n", 400)]
+#[case::two_lengths("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", 400)]
+#[case::both_framings(
+    "POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    400
+)]
+#[case::signed_length("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: +1\r\n\r\nx", 400)]
+#[case::bad_chunk("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\nq\r\n", 400)]
+#[case::unknown_coding("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: gzip, chunked\r\n\r\n", 501)]
+#[case::too_long("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 65537\r\n\r\n", 413)]
+#[case::huge_length("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 99999999999999999999999\r\n\r\n", 413)]
+#[case::huge_chunk("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\nfffff\r\n{X}{X}", 413)]
+#[case::large_head("POST /zone-plan HTTP/1.1\r\n{H}X: {X}\r\n\r\n", 431)]
+#[case::endless_head("POST /zone-plan?{X}", 431)]
+#[case::unknown_class("POST /zone-plans HTTP/1.1\r\n{H}\r\n", 404)]
+#[case::no_class("POST / HTTP/1.1\r\n{H}\r\n", 404)]
+#[case::wrong_method("GET /zone-plan HTTP/1.1\r\n{H}\r\n", 405)]
+#[case::wrong_method_for_health("POST /_health HTTP/1.1\r\n{H}\r\n", 405)]
+#[case::no_id("POST /zone-plan HTTP/1.1\r\nHost: h\r\nTenant: acme\r\nRequest-Timeout: 9m\r\n\r\n", 400)]
+#[case::no_timeout("POST /zone-plan HTTP/1.1\r\nHost: h\r\nTenant: acme\r\nRequest-Id: a\r\n\r\n", 400)]
+#[case::bad_timeout("POST /zone-plan HTTP/1.1\r\n{H}Request-Timeout: 9m\r\n\r\n", 400)]
+#[case::unit_missing(
+    "POST /zone-plan HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nTenant: acme\r\nRequest-Timeout: 9\r\n\r\n",
+    400
+)]
+#[case::not_a_time(
+    "POST /zone-plan HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nTenant: acme\r\nRequest-Timeout: NaNm\r\n\r\n",
+    400
+)]
+#[case::stranger(
+    "POST /zone-plan HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\nTenant: x\r\nRequest-Timeout: 9m\r\n\r\n",
+    400
+)]
+fn bad_input_is_answered_and_harms_nobody(#[case] input: &str, #[case] status: u16) {
+    let (node, server) = pair();
+    let input = input.replace("{H}", HEAD).replace("{X}", &"x".repeat(40_000));
+    let mut client = node.client();
+    client.send(&input);
+    assert_eq!(client.message().status(), status);
+    let mut health = node.client();
+    health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert_eq!(health.message().status(), 200);
+    assert!(server.is_left_alone());
+}
+
+#[rstest]
+#[case::chunked("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: t\r\n\r\n")]
+#[case::counted("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 5\r\n\r\nabcde")]
+fn split_and_pipelined_input_works(#[case] request: &str) {
+    let (node, server) = pair();
+    let request = request.replace("{H}", HEAD);
+    let mut client = node.client();
+    for byte in request.chars() {
+        client.send(&byte.to_string());
+    }
+    // Two more before the first is answered.
+    client.send(&format!("{request}{request}"));
+    let mut backend = server.accept();
+    for result in ["1", "2", "3"] {
+        let got = backend.message();
+        assert_eq!((got.body.as_str(), got.field("Content-Length")), ("abcde", Some("5")));
+        backend.serve("a", result);
+        assert_eq!(client.message().body, result);
+    }
+}
+
+#[rstest]
+fn a_client_that_expects_to_be_told_to_go_on_is() {
+    let (node, server) = pair();
+    let mut client = node.client();
+    client.send(&format!(
+        "POST /zone-plan HTTP/1.1\r\n{HEAD}Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+    ));
+    assert_eq!(client.message().status(), 100);
+    client.send("ok");
+    let mut backend = server.accept();
+    assert_eq!(backend.message().body, "ok");
+    backend.serve("a", "fine");
+    assert_eq!(client.message().body, "fine");
+}
+
+/// The one server has a job that has not started, so the next ones are held.
+#[rstest]
+fn a_client_that_closes_is_gone() {
+    let (node, server) = pair();
+    let mut first = node.ask("first", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    drop(node.ask("gone", "/zone-plan"));
+    node.logs("reason=peer-broke");
+    let mut third = node.ask("third", "/zone-plan");
+    backend.serve("first", "1");
+    assert_eq!(first.message().body, "1");
+    assert_eq!(backend.message().field("Request-Id"), Some("third"));
+    backend.serve("third", "3");
+    assert_eq!(third.message().body, "3");
+}
+
+#[rstest]
+#[case::milliseconds("300m", "/actuator-cmd", 502)]
+#[case::microseconds("300000u", "/actuator-cmd", 502)]
+#[case::harmless("300m", "/zone-plan", 503)]
+fn an_answer_comes_before_the_client_gives_up(#[case] time: &str, #[case] path: &str, #[case] status: u16) {
+    let (node, server) = pair();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&job("a", path, time, ""));
+    let mut backend = server.accept();
+    backend.message();
+    assert_eq!(client.message().status(), status);
+    let took = sent.elapsed();
+    assert!(took > Duration::from_millis(200) && took < Duration::from_millis(350), "{took:?}");
+    assert!(backend.ended(), "the attempt is given up");
+    node.logs("reason=timed-out");
+}
+
+#[rstest]
+fn a_deny_is_sent_at_once_and_advises() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["settings"]["allowed"]["try_limit"] = json!(1);
+    let node = Node::start(&config);
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    let turned_away = Instant::now();
+    backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    let answer = client.message();
+    assert_eq!(answer.status(), 503);
+    assert!(turned_away.elapsed() < Duration::from_secs(1));
+    let seconds: f64 = answer.field("Retry-After").unwrap().parse().unwrap();
+    assert!(seconds > 0.0 && seconds <= 2.0);
+}
+
+#[rstest]
+fn idle_connections_close_in_time_and_dead_ones_are_not_used() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["settings"]["allowed"]["conn_idle_ms"] = json!(1000.0);
+    let node = Node::start(&config);
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    drop(backend);
+    assert!(node.logs("end backend").contains("reason=peer-closed messages=1"));
+    client.send(&job("b", "/actuator-cmd", "5000m", ""));
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("b", "2");
+    let idle = Instant::now();
+    assert_eq!(client.message().body, "2");
+    assert!(backend.ended());
+    assert!(idle.elapsed() < Duration::from_millis(950));
+    node.logs("reason=idle");
+}
+
+#[rstest]
+fn a_connection_that_does_not_come_up_has_its_time() {
+    let (address, _kept) = deaf();
+    let mut config = config(&[address]);
+    config["settings"]["allowed"]["connect_timeout_ms"] = json!(150.0);
+    let node = Node::start(&config);
+    let mut client = node.ask("a", "/actuator-cmd");
+    node.logs("reason=connect-timeout messages=0");
+    assert_eq!(client.message().status(), 503, "it never ran, so a deny is true");
+}
+
+/// Discovery's side of a watch, up to the list that it begins with.
+fn watch(discovery: &Party) -> (Peer, String) {
+    let mut watch = discovery.accept();
+    let request = watch.message();
+    watch.begin();
+    (watch, request.first)
+}
+
+fn listing(revision: u64, complete: bool, members: &[serde_json::Value]) -> String {
+    json!({"revision": revision, "complete": complete, "members": members}).to_string()
+}
+
+#[rstest]
+#[case::leaving("leaving")]
+#[case::gone("left")]
+fn nothing_is_written_to_a_server_known_to_leave(#[case] phase: &str) {
+    let ((address, _kept), discovery) = (deaf(), Party::new());
+    let mut config = config(&[address]);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["allowed"]["connect_timeout_ms"] = json!(9000.0);
+    let node = Node::start(&config);
+    let (mut watch, _) = watch(&discovery);
+    let mut client = node.client();
+    client.send(&job("a", "/actuator-cmd", "1000m", ""));
+    node.logs("dispatch 1.0 to");
+    watch.line(&listing(42, false, &[entry("s-0", address, phase)]));
+    node.logs("reason=server-left messages=0");
+    assert_eq!(client.message().status(), 503);
+}
+
+#[rstest]
+fn the_watch_goes_on_from_the_last_revision_and_lists_replace() {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let mut config = config(&[old.address]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let node = Node::start(&config);
+    let (mut first, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+    first.line("");
+    first.line(&listing(43, true, &[entry("s-new", new.address, "active")]));
+    node.logs("server table 43");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = new.accept();
+    backend.message();
+    backend.serve("a", "from the new one");
+    assert_eq!(client.message().body, "from the new one");
+    assert!(old.is_left_alone());
+    drop(first);
+    let (mut second, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=43 HTTP/1.1");
+    // A line of nonsense ends the watch, and the whole list is asked for.
+    second.line("{\"revision\": 44}");
+    node.logs("reason=malformed");
+    let (mut third, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=0 HTTP/1.1");
+    third.line(&listing(45, true, &[entry("s-new", new.address, "active")]));
+    node.logs("server table 45");
+    // Then it says nothing more, as when it is cut off.
+    node.logs("reason=silent");
+    let (_fourth, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=45 HTTP/1.1");
+}
+
+#[rstest]
+fn a_node_told_to_stop_answers_all_it_takes() {
+    let (mut node, server) = pair();
+    let mut held = node.ask("held", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    let mut idle = node.client();
+    node.terminate();
+    node.logs("told to stop");
+    let mut late = node.ask("late", "/zone-plan");
+    backend.serve("held", "1");
+    assert_eq!(held.message().body, "1");
+    backend.message();
+    assert!(idle.ended(), "an idle connection is closed in order");
+    assert!(node.client_refused());
+    backend.serve("late", "2");
+    assert_eq!(late.message().body, "2");
+    assert!(node.exit().success());
+}
+
+/// More clients than the limit allows: idle ones give way, and no answer is lost.
+#[rstest]
+#[case::own_limit(&[PROGRAM, "serve"], 70)]
+#[case::systems_limit(&["sh", "-c", "ulimit -n 32; exec \"$0\" serve", PROGRAM], 1024)]
+fn limits_on_sockets_hold(#[case] words: &[&str], #[case] sockets: usize) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(sockets);
+    let node = Node::start_as(words, &config);
+    let mut clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
+    let last = clients.last_mut().unwrap();
+    last.send(&job("a", "/zone-plan", "5000m", ""));
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("a", "served");
+    assert_eq!(last.message().body, "served");
+    node.logs("reason=evicted");
+}
+
+#[rstest]
+#[case::no_json("{", "EOF")]
+#[case::no_settings("{\"listen\":\"127.0.0.1:0\"}", "missing field")]
+#[case::no_address("{\"listen\":\"here\"}", "here")]
+#[case::no_classes("{\"settings\":{}}", "names no classes")]
+#[case::bad_seed("{\"seed\":\"xyz\"}", "seed")]
+#[case::bad_server(
+    "{\"known\":{\"revision\":1,\"complete\":true,\"members\":[{\"id\":\"s\",\"phase\":\"active\"}]}}",
+    "'s' has no address"
+)]
+#[case::few_sockets("{\"limits\":{\"memory_mb\":1,\"sockets\":9}}", "at least 64")]
+fn a_bad_configuration_is_one_clear_line(#[case] changed: &str, #[case] says: &str) {
+    let mut text = changed.to_string();
+    if let (Ok(serde_json::Value::Object(changes)), false) =
+        (serde_json::from_str(changed), says == "missing field")
+    {
+        let mut whole = config(&[]);
+        changes.into_iter().for_each(|(name, value)| whole[name] = value);
+        text = whole.to_string();
+    }
+    for verb in ["serve", "check"] {
+        let output = command(&[PROGRAM, verb], &text).output().unwrap();
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert!(error.contains(says) && error.lines().count() == 1, "{error}");
+    }
+}
+
+#[rstest]
+fn the_command_line_helps() {
+    let text = |words: &[&str]| {
+        let output = command(words, &config(&[]).to_string()).output().unwrap();
+        assert!(output.status.success());
+        String::from_utf8(output.stdout).unwrap()
+    };
+    assert!(text(&[PROGRAM, "--help"]).contains("serve"));
+    assert!(text(&[PROGRAM, "version"]).starts_with("shorepath 0."));
+    assert!(text(&[PROGRAM, "check"]).contains("would serve on 127.0.0.1:0"));
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,260 @@
+//! The real program as a process, and the parties round it: clients, backend servers, discovery.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+/// Nothing that works takes this long.
+pub const LONG: Duration = Duration::from_secs(10);
+
+pub fn settings() -> Value {
+    let class = |name: &str, semantics: &str| {
+        json!({"name": name, "semantics": semantics, "target_ms": 2000.0, "deadline_ms": 5000.0,
+               "late_worth": 0.3, "worth": 3.0, "stream": false, "group": "all", "dedup_window_ms": 5000.0})
+    };
+    json!({
+        "allowed": {"cancel": true, "conn_idle_ms": 5000.0, "connect_timeout_ms": 1000.0,
+                    "max_retry_after_ms": 2000.0, "retry_after": true, "try_limit": 3, "probing": true},
+        "classes": [class("zone-plan", "free"), class("actuator-cmd", "single_shot")],
+        "family_info": {"tells_start": true, "class_kind": [-1, -1], "class_stretch": [2.0, 2.0]},
+        "kinds": ["standard"], "projects": [{"name": "acme", "portion": 1.0, "quota_rps": 50.0}],
+        "rules": {"drain_grace_ms": 500.0, "cold_share": 0.2, "cold_ms": 10000.0, "tip_multiple": 4.0,
+                  "fall_ms": 2000.0, "answer_slack_ms": 16.0},
+        "granularity_ms": 4.0, "over_share_worth": 0.2, "rank": 0, "replicas_of_me": 2,
+        "discovery": "pushed", "weights": "nominal", "zone": "a", "azs": ["a"]
+    })
+}
+
+pub fn entry(id: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "standard", "cell": 0,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+/// A configuration with those backend servers, which nothing listens behind as discovery.
+pub fn config(servers: &[SocketAddr]) -> Value {
+    let known: Vec<Value> =
+        servers.iter().enumerate().map(|(k, s)| entry(&format!("s-{k}"), *s, "active")).collect();
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+           "known": {"revision": 41, "complete": true, "members": known}, "settings": settings()})
+}
+
+/// Write a configuration down and name it in a command for the program.
+pub fn command(words: &[&str], config: &str) -> Command {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(words[0]);
+    command.args(&words[1..]).env("ROUTER_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_shorepath");
+
+/// The program, serving; killed when dropped.
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+    log: Receiver<String>,
+}
+
+impl Node {
+    pub fn start(config: &Value) -> Node {
+        Node::start_as(&[PROGRAM, "serve", "-v"], config)
+    }
+
+    pub fn start_as(words: &[&str], config: &Value) -> Node {
+        let mut child = command(words, &config.to_string()).spawn().unwrap();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let (sender, log) = channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        let mut node = Node { child, address: ([127, 0, 0, 1], 1).into(), log };
+        let line = node.logs("serves on ");
+        node.address = line.rsplit(' ').next().unwrap().parse().unwrap();
+        node
+    }
+
+    /// The next line of the log that holds the text.
+    pub fn logs(&self, text: &str) -> String {
+        let end = Instant::now() + LONG;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|e| panic!("no '{text}' in the log: {e}"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    pub fn client_refused(&self) -> bool {
+        TcpStream::connect(self.address).is_err()
+    }
+
+    /// Hand a job in on a new connection.
+    pub fn ask(&self, id: &str, target: &str) -> Peer {
+        let mut client = self.client();
+        client.send(&job(id, target, "5000m", ""));
+        client
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.log.iter().for_each(|line| eprintln!("{line}"));
+        }
+    }
+}
+
+/// A request of a client.
+pub fn job(id: &str, target: &str, timeout: &str, body: &str) -> String {
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id}\r\nTenant: acme\r\n\
+         Request-Timeout: {timeout}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Somebody who listens: a backend server or discovery.
+pub struct Party {
+    pub address: SocketAddr,
+    came: Receiver<TcpStream>,
+}
+
+impl Party {
+    pub fn new() -> Party {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, came) = channel();
+        std::thread::spawn(move || listener.incoming().flatten().try_for_each(|s| sender.send(s)));
+        Party { address, came }
+    }
+
+    pub fn accept(&self) -> Peer {
+        Peer::new(self.came.recv_timeout(LONG).expect("nobody came"))
+    }
+
+    pub fn is_left_alone(&self) -> bool {
+        self.came.try_recv().is_err()
+    }
+}
+
+/// An address behind which no connection comes up, for as long as this is kept: it accepts nothing,
+/// and the queue of those that wait is full.
+pub fn deaf() -> (SocketAddr, impl Sized) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let more = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+    let filled: Vec<_> = std::iter::from_fn(more).collect();
+    (address, (listener, filled))
+}
+
+/// An address that refuses connections.
+pub fn closed() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A connection, from either side.
+pub struct Peer {
+    stream: BufReader<TcpStream>,
+}
+
+/// A request or an answer.
+#[derive(Debug)]
+pub struct Message {
+    pub first: String,
+    pub head: String,
+    pub body: String,
+}
+
+impl Message {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(": "));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v).next()
+    }
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Peer { stream: BufReader::new(stream) }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.stream.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    /// A message with its body by `Content-Length`.
+    pub fn message(&mut self) -> Message {
+        let (mut first, mut head) = (String::new(), String::new());
+        self.stream.read_line(&mut first).unwrap();
+        assert!(!first.is_empty(), "the connection ended before a message");
+        while !head.ends_with("\r\n\r\n") && head != "\r\n" {
+            assert!(self.stream.read_line(&mut head).unwrap() > 0, "the connection ended in a head");
+        }
+        let mut message = Message { first: first.trim_end().to_string(), head, body: String::new() };
+        let length = message.field("Content-Length").map_or(0, |l| l.parse().unwrap());
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body).unwrap();
+        message.body = String::from_utf8(body).unwrap();
+        message
+    }
+
+    /// The other side has ended the connection without another byte.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+            || self.stream.get_ref().take_error().is_ok_and(|e| e.is_some())
+    }
+
+    /// Begin an answer in chunks.
+    pub fn begin(&mut self) {
+        self.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    /// A line of an answer in chunks.
+    pub fn line(&mut self, text: &str) {
+        self.send(&format!("{:x}\r\n{text}\n\r\n", text.len() + 1));
+    }
+
+    pub fn state(&mut self, id: &str, state: &str) {
+        self.line(&json!({"id": id, "from": "s", "state": state}).to_string());
+    }
+
+    /// Serve a job to its end.
+    pub fn serve(&mut self, id: &str, result: &str) {
+        self.begin();
+        self.state(id, "started");
+        self.finish(id, result);
+    }
+
+    pub fn finish(&mut self, id: &str, result: &str) {
+        let text = json!({"id": id, "from": "s", "state": "done", "result": result}).to_string();
+        // In one piece, so that the connection is free before the client can ask again.
+        self.send(&format!("{:x}\r\n{text}\n\r\n0\r\n\r\n", text.len() + 1));
+    }
+}
