--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -225,7 +225,9 @@
                     }
                 }
             };
-            let closing = *self.stage.borrow() == Stage::Closing;
+            // A request that has come already is still served.
+            let pending = next.is_some() || !connection.read_buffer().is_empty();
+            let closing = *self.stage.borrow() == Stage::Closing && !pending;
             let last = !keep_alive || closing;
             if let Err(ending) = self.write(connection, last_if(answer, last)).await {
                 return ending;
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -21,9 +21,10 @@
 const SILENCE: Duration = Duration::from_millis(3_000);
 /// How long the connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(500);
-/// The first pause before another watch, doubled up to the longest.
+/// The first pause before another watch, doubled up to the longest. That stays under the time within
+/// which sends to a leaving server have to stop: the agent may know what we don't.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// A line with the whole list holds this much at most.
 const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
