Don't park a connection to a server that has left or moved meanwhile

Seen on reading src/net/backend.rs, connection(): an attempt that ended after its server had moved parked its connection under the server's new address. The test for it fails without the check (the next dispatch goes to the old address). Also: eviction says itself whether it found one, settings without connection times get a second each, and the exchange carries actions out without a queue of events that nothing filled.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -188,13 +188,12 @@
         }
     }
 
-    /// Close the connection that has been idle for longest, wherever it goes.
-    fn evict(&self) {
+    /// Close the connection that has been idle for longest, wherever it goes, if there is one.
+    fn evict(&self) -> bool {
         let mut servers = self.servers.borrow_mut();
         let oldest = servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].0);
-        if let Some((_, connection)) = oldest.and_then(|s| s.idle.pop_front()) {
-            let _ = connection.try_send(Task::Close(Ending::Evicted));
-        }
+        let Some((_, connection)) = oldest.and_then(|s| s.idle.pop_front()) else { return false };
+        connection.try_send(Task::Close(Ending::Evicted)).is_ok()
     }
 
     fn report(&self, id: DispatchId, status: Status) {
@@ -222,15 +221,11 @@
             }
             (server.address, server.active.subscribe())
         };
-        if self.connections.get() >= self.bounds.connections {
-            // Guards against running out of descriptors. The place of one that is being evicted is
-            // free a moment later, so the bound is one over for that long.
-            let before = self.idle();
-            self.evict();
-            if before == 0 {
-                warn!("no connection is left for a dispatch");
-                return self.report(dispatch.id, Status::ConnectFailed);
-            }
+        // Guards against running out of descriptors. The place of one that is evicted is free a moment
+        // later, so the bound is one over for that long.
+        if self.connections.get() >= self.bounds.connections && !self.evict() {
+            warn!("no connection is left for a dispatch");
+            return self.report(dispatch.id, Status::ConnectFailed);
         }
         self.connections.set(self.connections.get() + 1);
         let backend = self.clone();
@@ -245,10 +240,6 @@
         });
     }
 
-    fn idle(&self) -> usize {
-        self.servers.borrow().values().map(|s| s.idle.len()).sum()
-    }
-
     /// Open a connection and use it until it ends: why, after how many attempts, and an attempt that
     /// was handed over too late to be written.
     async fn connection(
@@ -274,8 +265,10 @@
             let (task, tasks) = mpsc::channel(1);
             let number = self.parked.get();
             self.parked.set(number + 1);
-            if let Some(server) = self.servers.borrow_mut().get_mut(&worker) {
-                server.idle.push_back((number, task));
+            match self.servers.borrow_mut().get_mut(&worker) {
+                // Guards against a server that has left, or moved, while it answered.
+                Some(s) if s.address == address && *s.active.borrow() => s.idle.push_back((number, task)),
+                _ => break (Ending::ServerLeft, None),
             }
             match self.parked(&mut connection, tasks).await {
                 Ok(next) => dispatch = next,
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -8,7 +8,7 @@
 use crate::settings::{mark, Catalogue, Setup};
 use crate::Balancer;
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -142,7 +142,7 @@
     clock: Clock,
     open: HashMap<RequestId, Taken<P>>,
     taken: u64,
-    active: HashMap<WorkerId, bool>,
+    active: BTreeSet<WorkerId>,
     orders: mpsc::UnboundedSender<Order<P>>,
     wake: Option<Instant>,
 }
@@ -170,7 +170,7 @@
             clock: Clock::start(),
             open: HashMap::new(),
             taken: 0,
-            active: HashMap::new(),
+            active: BTreeSet::new(),
             orders,
             wake: None,
         };
@@ -293,24 +293,18 @@
 
 impl<P> Inner<P> {
     fn tell(&mut self, event: Event) {
-        let mut events = VecDeque::from([event]);
         let mut actions = Vec::new();
-        while let Some(event) = events.pop_front() {
-            let now = self.clock.now();
-            self.balancer.handle(now, event, &mut actions);
-            for action in actions.drain(..) {
-                events.extend(self.act(action));
-            }
-        }
+        self.balancer.handle(self.clock.now(), event, &mut actions);
+        actions.into_iter().for_each(|action| self.act(action));
     }
 
-    /// Carry an action out; what could not be, the module is told at once.
-    fn act(&mut self, action: Action) -> Option<Event> {
+    /// Carry an action out.
+    fn act(&mut self, action: Action) {
         match action {
             Action::Send { id, worker } => {
                 let Some(taken) = self.open.get_mut(&id) else {
                     warn!("a dispatch of request {}, which is over, was not made", id.0);
-                    return Some(Event::Outcome { id, attempt: 0, status: Status::Moot, settled: true });
+                    return;
                 };
                 let dispatch = DispatchId { request: id, attempt: taken.attempts };
                 taken.attempts += 1;
@@ -331,7 +325,6 @@
             // The watch on discovery is always kept open, and nodes have no way to tell each other.
             Action::Subscribe | Action::Tell { .. } => {}
         }
-        None
     }
 
     fn answer(&mut self, id: RequestId, verdict: Verdict) {
@@ -364,14 +357,17 @@
         }
         if whole {
             let listed = |w: &WorkerId| members.iter().any(|m| m.worker == *w);
-            let left: Vec<_> = self.active.keys().copied().filter(|w| !listed(w)).collect();
+            let left: Vec<_> = self.active.iter().copied().filter(|w| !listed(w)).collect();
             left.into_iter().for_each(|worker| self.server(worker, None, false));
         }
         members
     }
 
     fn server(&mut self, worker: WorkerId, address: Option<SocketAddr>, active: bool) {
-        self.active.insert(worker, active);
+        match active {
+            true => self.active.insert(worker),
+            false => self.active.remove(&worker),
+        };
         self.order(Order::Server { worker, address, active });
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -177,13 +177,22 @@
     pub fn names_classes(&self) -> bool {
         !self.classes.is_empty()
     }
-    /// How long a connection may take to come up.
+    /// How long a connection may take to come up; a second where the settings don't say.
     pub fn connect_timeout(&self) -> Micros {
-        micros(self.allowed.connect_timeout_ms)
+        or(micros(self.allowed.connect_timeout_ms), 1_000_000)
     }
-    /// Workers close a connection that has been idle for this long.
+    /// Workers close a connection that has been idle for this long; a second where the settings
+    /// don't say.
     pub fn conn_idle(&self) -> Micros {
-        micros(self.allowed.conn_idle_ms)
+        or(micros(self.allowed.conn_idle_ms), 1_000_000)
+    }
+}
+
+fn or(stated: Micros, usual: Micros) -> Micros {
+    if stated > 0 {
+        stated
+    } else {
+        usual
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -427,3 +427,26 @@
     assert!(text(&[PROGRAM, "version"]).starts_with("shorepath 0."));
     assert!(text(&[PROGRAM, "check"]).contains("would serve on 127.0.0.1:0"));
 }
+
+/// Its idle connections and those that are just answering are not used again.
+#[rstest]
+fn a_server_that_moves_is_reached_at_its_new_address() {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let mut config = config(&[old.address]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let node = Node::start(&config);
+    let (mut watch, _) = watch(&discovery);
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = old.accept();
+    backend.message();
+    watch.line(&listing(42, false, &[entry("s-0", new.address, "active")]));
+    node.logs("server table 42");
+    backend.serve("a", "from the old address");
+    assert_eq!(client.message().body, "from the old address");
+    node.logs("reason=server-left messages=1");
+    client.send(&job("b", "/zone-plan", "5000m", ""));
+    let mut backend = new.accept();
+    backend.message();
+    backend.serve("b", "from the new address");
+    assert_eq!(client.message().body, "from the new address");
+}
