Keep the limit on clients when their requests never come whole

Seen: 800 clients that each sent 60 KB of a 65 KB request were all taken: 810 descriptors where 343 clients are allowed, 112 MB (a small probe by hand). Cause: src/net/frontend.rs, accept(): a connection that was told to make room counted as gone, but next() keeps one on which a request has begun. Now only an end makes room. Test: requests_that_never_come_whole_take_no_more_than_their_ places. Harm: at the limit slow requests are answered 408 after a second.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -21,6 +21,8 @@
 
 /// How long a connection may stand idle, and a request may take to come.
 const IDLE: Duration = Duration::from_secs(60);
+/// How long a request may still take to come once its connection is wanted closed.
+const PRESSED: Duration = Duration::from_millis(1_000);
 /// How long a client may take to read its answer.
 const WRITE: Duration = Duration::from_secs(10);
 /// How long what a client still sends is read after the last answer, so that it sees that answer.
@@ -104,7 +106,12 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut stage = self.stage.subscribe();
         loop {
-            let full = self.connections.get() >= self.most && !self.evict();
+            // One more than allowed shows that another has to go. Only one that has ended makes room:
+            // one that was told to go may have begun a request.
+            let full = self.connections.get() > self.most;
+            if full {
+                self.evict();
+            }
             let accepted = tokio::select! {
                 biased;
                 // All that waits is taken before the listener closes: its requests may have come.
@@ -266,11 +273,11 @@
                 (false, over) => break Err(over),
                 (true, Ending::Idle) => break Err(Ending::TooSlow),
                 (true, over) => {
-                    // Guards the end of the node against a request that is never completed.
-                    if over == Ending::Shutdown {
-                        idle.set(self.deadlines.after(LINGER));
-                    }
+                    // Guards the end of the node, and the others' places, against requests that are
+                    // never completed; and where one was to make room, the next is asked.
+                    idle.set(self.deadlines.after(PRESSED));
                     ending = Some(over);
+                    self.changed.notify_one();
                 }
             }
         };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -388,6 +388,22 @@
     node.logs("reason=evicted");
 }
 
+/// Requests that are never completed keep their places for a second at most, and none beyond the limit.
+#[rstest]
+fn requests_that_never_come_whole_take_no_more_than_their_places() {
+    let mut config = config(&[]);
+    config["limits"]["sockets"] = json!(70);
+    let node = Node::start(&config);
+    let mut clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|c| c.send("POST /zone-plan HTTP/1.1\r\nHost: h\r\n"));
+    node.logs("reason=too-slow");
+    assert!(node.descriptors() <= 70);
+    let mut health = node.client();
+    health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+    drop(clients);
+    assert_eq!(health.message().status(), 200);
+}
+
 #[rstest]
 #[case::no_json("{", "EOF")]
 #[case::no_settings("{\"listen\":\"127.0.0.1:0\"}", "missing field")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -112,6 +112,11 @@
         assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
     }
 
+    /// How many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
