--- a/src/main.rs
+++ b/src/main.rs
@@ -43,6 +43,9 @@
             let level = if verbose { Level::DEBUG } else { Level::INFO };
             tracing_subscriber::fmt()
                 .with_max_level(level)
+                // Guards against a log that nobody reads any more: by default a line that can't be
+                // written is complained about on the same standard error, which panics.
+                .log_internal_errors(false)
                 .with_writer(std::io::stderr)
                 .with_target(false)
                 .init();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -53,6 +53,9 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A part of the node has ended, which it does only by a fault.
+    #[error("the {0} has ended")]
+    Part(&'static str),
     /// The system gave no runtime or no signals.
     #[error("can't start: {0}")]
     Start(#[from] std::io::Error),
@@ -90,29 +93,47 @@
     let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), config.discovery);
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool, config.limits.frontend());
 
-    spawn_local({
+    let sweep = spawn_local({
         let deadlines = deadlines.clone();
         async move { deadlines.sweep().await }
     });
-    spawn_local({
+    let wake = spawn_local({
         let exchange = exchange.clone();
         async move { exchange.wake().await }
     });
-    spawn_local(backend.clone().run(orders));
-    spawn_local(table.follow(config.known));
-    let accepting = spawn_local(frontend.clone().accept(listener));
+    let orders = spawn_local(backend.clone().run(orders));
+    let table = spawn_local(table.follow(config.known));
+    let mut accepting = spawn_local(frontend.clone().accept(listener));
     info!("{} serves on {address}", config.name);
 
+    // Guards against a node that goes on without one of its parts: a panic ends only its task.
+    let parts = async {
+        tokio::select! {
+            _ = sweep => "deadlines",
+            _ = wake => "exchange",
+            _ = orders => "backend",
+            _ = table => "server table",
+        }
+    };
+    let mut parts = std::pin::pin!(parts);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        part = &mut parts => return Err(ServeError::Part(part)),
+        _ = &mut accepting => return Err(ServeError::Part("frontend")),
     }
     info!("told to stop: {} requests are open", exchange.open());
     frontend.leave();
-    deadlines.after(DRAIN).await;
-    frontend.close();
-    let _ = accepting.await;
-    frontend.ended().await;
+    let drained = async {
+        deadlines.after(DRAIN).await;
+        frontend.close();
+        let _ = accepting.await;
+        frontend.ended().await;
+    };
+    tokio::select! {
+        () = drained => {}
+        part = &mut parts => return Err(ServeError::Part(part)),
+    }
     backend.shut_down();
     info!("stopped");
     Ok(())
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -466,3 +466,17 @@
     backend.serve("b", "from the new address");
     assert_eq!(client.message().body, "from the new address");
 }
+
+#[rstest]
+fn a_log_that_nobody_reads_any_more_harms_nobody() {
+    let (node, server) = pair();
+    let node = node.without_log();
+    for id in ["a", "b"] {
+        let mut client = node.ask(id, "/zone-plan");
+        let mut backend = server.accept();
+        backend.message();
+        backend.begin();
+        backend.finish(id, "fine");
+        assert_eq!(client.message().body, "fine");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// With nobody at the other end of its standard error: the reader ends with the next line.
+    pub fn without_log(mut self) -> Node {
+        self.log = channel().1;
+        drop(self.client());
+        self
+    }
+
     pub fn client(&self) -> Peer {
         Peer::new(TcpStream::connect(self.address).unwrap())
     }
