--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -76,3 +76,24 @@
         self.pool.give(std::mem::take(&mut self.bytes));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Buf;
+
+    #[test]
+    fn a_buffer_comes_back_whole_and_one_that_has_grown_does_not() {
+        let pool = Rc::new(Pool::default());
+        let mut first = pool.buffer();
+        first.extend_from_slice(&[1; 100]);
+        let place = first.as_ptr();
+        first.advance(60);
+        drop(first);
+        let mut again = pool.buffer();
+        assert_eq!((again.as_ptr(), again.len(), again.capacity()), (place, 0, SIZE));
+        again.extend_from_slice(&[1; SIZE + 1]);
+        drop(again);
+        assert!(pool.0.borrow().is_empty());
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -480,3 +480,16 @@
         assert_eq!(client.message().body, "fine");
     }
 }
+
+#[rstest]
+fn the_largest_body_passes() {
+    let (node, server) = pair();
+    let body = "x".repeat(65_536);
+    let mut client = node.client();
+    client.send(&job("a", "/zone-plan", "5000m", &body));
+    let mut backend = server.accept();
+    assert!(backend.message().body == body);
+    let result = "y".repeat(65_000);
+    backend.serve("a", &result);
+    assert!(client.message().body == result);
+}
