Leave a log line for the backend's connections at the end of the node, too

Seen: after SIGTERM the log had no line for connections to backend servers that were still open. Cause: src/net/mod.rs, run() returned right after shut_down() had told them to close. Test: the one of the node told to stop.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio_util::codec::Framed;
 use tracing::{debug, warn};
 
@@ -48,6 +48,8 @@
     /// What calls off the attempts that are out.
     out: RefCell<HashMap<DispatchId, oneshot::Sender<()>>>,
     connections: Cell<usize>,
+    /// Told whenever a connection has ended.
+    ended: Notify,
     parked: Cell<u64>,
 }
 
@@ -131,6 +133,7 @@
             servers: RefCell::default(),
             out: RefCell::default(),
             connections: Cell::new(0),
+            ended: Notify::new(),
             parked: Cell::new(0),
         })
     }
@@ -151,10 +154,21 @@
         }
     }
 
-    /// Close all idle connections.
-    pub fn shut_down(&self) {
+    /// Close all connections, once nobody waits for an answer any more. Ready when all have ended; one
+    /// that is still reading the tail of an answer is not waited for longer than that may take.
+    pub async fn shut_down(&self) {
         let all: Vec<_> = self.servers.borrow().keys().copied().collect();
         all.into_iter().for_each(|worker| self.close_idle(worker, Ending::Shutdown));
+        self.out.borrow_mut().clear();
+        let all_ended = async {
+            while self.connections.get() > 0 {
+                self.ended.notified().await;
+            }
+        };
+        tokio::select! {
+            () = all_ended => {}
+            () = self.deadlines.after(TAIL) => {}
+        }
     }
 
     fn server(&self, worker: WorkerId, address: Option<SocketAddr>, active: bool) {
@@ -233,6 +247,7 @@
             let (ending, messages, left) = backend.connection(worker, address, active, dispatch).await;
             backend.connections.set(backend.connections.get() - 1);
             ending.log(Side::Backend, address, messages);
+            backend.ended.notify_one();
             // It was dead before anything was written to it, so this is no repeat.
             if let Some(dispatch) = left {
                 backend.dispatch(worker, dispatch);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -129,12 +129,12 @@
         frontend.close();
         let _ = accepting.await;
         frontend.ended().await;
+        backend.shut_down().await;
     };
     tokio::select! {
         () = drained => {}
         part = &mut parts => return Err(ServeError::Part(part)),
     }
-    backend.shut_down();
     info!("stopped");
     Ok(())
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -367,6 +367,8 @@
     backend.serve("late", "2");
     assert_eq!(late.message().body, "2");
     assert!(node.exit().success());
+    node.logs("end backend");
+    node.logs("stopped");
 }
 
 /// More clients than the limit allows: idle ones give way, and no answer is lost.
