Write the log beside the node's thread, so that a stalled reader stops nothing

Seen: with a reader of standard error that stands still, the node stood still too once the pipe was full (case stalled of the log's test: no connection was taken for two minutes). Cause: src/main.rs: each line was written by the node's one thread. Now tracing-appender writes, 4096 lines wait at most, and further ones are dropped.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing::Level;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+
+/// Lines of the log that may wait to be written.
+const LOG_LINES: usize = 4096;
 
 /// A node that takes jobs from clients and dispatches them to backend servers
 #[derive(Clone, Debug, Bpaf)]
@@ -41,12 +45,17 @@
         Command::Serve { verbose, config } => {
             let config = read(config)?;
             let level = if verbose { Level::DEBUG } else { Level::INFO };
+            // Guards against a log that nobody reads any more, or too slowly: lines that can't be
+            // written are dropped. Written here, a full pipe would stop the node; and a broken one is
+            // complained about on the same standard error by default, which panics.
+            let (writer, _flushed_at_the_end) = NonBlockingBuilder::default()
+                .buffered_lines_limit(LOG_LINES)
+                .lossy(true)
+                .finish(std::io::stderr());
             tracing_subscriber::fmt()
                 .with_max_level(level)
-                // Guards against a log that nobody reads any more: by default a line that can't be
-                // written is complained about on the same standard error, which panics.
                 .log_internal_errors(false)
-                .with_writer(std::io::stderr)
+                .with_writer(writer)
                 .with_target(false)
                 .init();
             shorepath::net::serve(config)?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -470,9 +470,11 @@
 }
 
 #[rstest]
-fn a_log_that_nobody_reads_any_more_harms_nobody() {
+#[case::closed(false)]
+#[case::stalled(true)]
+fn a_log_that_nobody_reads_any_more_harms_nobody(#[case] stalls: bool) {
     let (node, server) = pair();
-    let node = node.without_log();
+    let node = node.without_log(stalls);
     for id in ["a", "b"] {
         let mut client = node.ask(id, "/zone-plan");
         let mut backend = server.accept();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::{Duration, Instant};
 
 /// Nothing that works takes this long.
@@ -62,6 +62,7 @@
     child: Child,
     pub address: SocketAddr,
     log: Receiver<String>,
+    stall: Sender<()>,
 }
 
 impl Node {
@@ -71,10 +72,16 @@
 
     pub fn start_as(words: &[&str], config: &Value) -> Node {
         let mut child = command(words, &config.to_string()).spawn().unwrap();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (sender, log) = channel();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|l| sender.send(l)));
-        let mut node = Node { child, address: ([127, 0, 0, 1], 1).into(), log };
+        let (stall, stalled) = channel();
+        std::thread::spawn(move || {
+            while lines.next().and_then(Result::ok).is_some_and(|l| sender.send(l).is_ok()) {}
+            if stalled.try_recv().is_ok() {
+                std::mem::forget(lines);
+            }
+        });
+        let mut node = Node { child, address: ([127, 0, 0, 1], 1).into(), log, stall };
         let line = node.logs("serves on ");
         node.address = line.rsplit(' ').next().unwrap().parse().unwrap();
         node
@@ -92,10 +99,14 @@
         }
     }
 
-    /// With nobody at the other end of its standard error: the reader ends with the next line.
-    pub fn without_log(mut self) -> Node {
+    /// Read its log no more: its standard error is closed, or stays open and fills up.
+    pub fn without_log(mut self, stalls: bool) -> Node {
+        if stalls {
+            self.stall.send(()).unwrap();
+        }
         self.log = channel().1;
-        drop(self.client());
+        // More lines than a pipe holds, and one at least for the reader to notice by.
+        (0..1_000).for_each(|_| drop(self.client()));
         self
     }
 
