Serve an operators' door, and empty the frontend on its call

Ruled out: the stages of SIGTERM, which can't be taken back. At fault: src/net/frontend.rs health(), which knew only the stages of stopping, and the missing door.

--- a/src/net/codec.rs
+++ b/src/net/codec.rs
@@ -215,6 +215,15 @@
         matches!(self, Answer::Full { close: true, .. })
     }
 
+    /// The answer to a method that its path doesn't take.
+    pub fn not_allowed(methods: &str, close: bool) -> Answer {
+        let mut answer = Answer::text(405, "method not allowed", close);
+        if let Answer::Full { fields, .. } = &mut answer {
+            *fields = format!("Allow: {methods}\r\n");
+        }
+        answer
+    }
+
     /// An answer with a line of text as its body.
     pub fn text(status: u16, text: &str, close: bool) -> Answer {
         let body = format!("{text}\n").into_bytes();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -20,6 +20,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     /// Where it is by the file alone, whatever the environment says.
     filed: Option<SocketAddr>,
     /// For random numbers.
@@ -104,6 +106,7 @@
     name: String,
     listen: String,
     discovery: String,
+    mgmt: Option<String>,
     #[serde(default)]
     seed: String,
     limits: Limits,
@@ -119,14 +122,14 @@
             .map_err(|source| ConfigError::Unreadable { path: path.to_path_buf(), source })?;
         let file: File = serde_json::from_slice(&text)
             .map_err(|source| ConfigError::Malformed { path: path.to_path_buf(), source })?;
-        let address = |field, value: Option<String>, or: String| {
-            let value = value.unwrap_or(or);
+        let address = |field, value: String| {
             let wrong = |_| ConfigError::Value { field, wanted: "address with a port", value: value.clone() };
             value.parse().map_err(wrong)
         };
         let filed = file.discovery.parse().ok();
-        let listen = address("listen", variable("ROUTER_LISTEN"), file.listen)?;
-        let discovery = address("discovery", variable("ROUTER_DISCOVERY"), file.discovery)?;
+        let listen = address("listen", variable("ROUTER_LISTEN").unwrap_or(file.listen))?;
+        let discovery = address("discovery", variable("ROUTER_DISCOVERY").unwrap_or(file.discovery))?;
+        let mgmt = variable("ROUTER_MGMT").or(file.mgmt).map(|value| address("mgmt", value)).transpose()?;
         let seed = match file.seed.as_str() {
             "" => 0,
             text => u64::from_str_radix(text, 16).map_err(|_| ConfigError::Value {
@@ -146,6 +149,7 @@
             name: variable("ROUTER_NAME").unwrap_or(file.name),
             listen,
             discovery,
+            mgmt,
             filed,
             seed,
             limits: file.limits,
@@ -166,6 +170,7 @@
         let same = [
             ("name", self.name == newer.name),
             ("listen", self.listen == newer.listen),
+            ("mgmt", self.mgmt == newer.mgmt),
             ("limits", self.limits == newer.limits),
             ("settings", self.setup == newer.setup),
         ];
@@ -188,6 +193,7 @@
             let limits = Limits { memory_mb, sockets };
             assert!(limits.connections() * 3 > sockets);
             assert!(limits.connections() * 2 + OWN_SOCKETS <= sockets);
+            const { assert!(crate::net::door::CALLERS < OWN_SOCKETS / 2) };
             assert!(limits.messages() * 3 < memory_mb << 20);
         }
     }
--- /dev/null
+++ b/src/net/door.rs
@@ -0,0 +1,162 @@
+//! The operators' door: a second address, where operators ask whether the node takes clients and have
+//! it emptied. It has bounds of its own, so that whatever the frontend is busy with it answers at once.
+
+use super::codec::{Answer, FrontendCodec, Incoming, ReadError, Request};
+use super::deadlines::Deadlines;
+use super::ending::{Ending, Side};
+use super::frontend::Frontend;
+use super::pool::Pool;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio_util::codec::Framed;
+use tracing::{info, warn};
+
+/// Callers that may be connected; one more and the one connected for longest goes. Guards against
+/// callers that connect and finish no call, which must not keep another out.
+pub const CALLERS: usize = 8;
+/// How long a call may take to come, and its answer to be read. A caller waits a second.
+const CALL: Duration = Duration::from_millis(1_000);
+/// How long the caller may take to close after its answer.
+const LINGER: Duration = Duration::from_millis(200);
+/// The pause after a caller could not be accepted.
+const PAUSE: Duration = Duration::from_millis(10);
+/// What the bodies of all calls may hold, in bytes; they are of no use.
+const BODIES: usize = 64 * 1024;
+
+/// Where operators call.
+#[derive(Debug)]
+pub struct Door {
+    frontend: Rc<Frontend>,
+    deadlines: Rc<Deadlines>,
+    pool: Rc<Pool>,
+    /// What sends each caller away that has not finished its call, in the order they came.
+    callers: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
+    came: Cell<u64>,
+}
+
+impl Door {
+    /// A door to the node with that frontend.
+    pub fn new(frontend: Rc<Frontend>, deadlines: Rc<Deadlines>) -> Rc<Self> {
+        Rc::new(Door {
+            frontend,
+            deadlines,
+            // Its own: what clients hold of the node's buffers must not keep an operator out.
+            pool: Rc::new(Pool::new(BODIES)),
+            callers: RefCell::default(),
+            came: Cell::new(0),
+        })
+    }
+
+    /// Answer callers for as long as the node runs.
+    pub async fn attend(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => self.receive(stream, peer),
+                // As at the frontend: it passes, and must not spin or end us.
+                Err(e) => {
+                    warn!("accepting an operator: {e}");
+                    self.deadlines.after(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn receive(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        let number = self.came.get();
+        self.came.set(number + 1);
+        let (close, mut closed) = oneshot::channel();
+        if self.callers.borrow().len() >= CALLERS {
+            let oldest = self.callers.borrow_mut().pop_first();
+            // One that has just ended by itself needs no telling.
+            let _ = oldest.map(|(_, close)| close.send(()));
+        }
+        self.callers.borrow_mut().insert(number, close);
+        let door = self.clone();
+        tokio::task::spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            let codec = FrontendCodec::new(&door.pool);
+            let mut connection = door.pool.framed::<Answer, _>(stream, codec);
+            let ending = tokio::select! {
+                biased;
+                ending = door.call(&mut connection) => ending,
+                _ = &mut closed => Ending::Evicted,
+                () = door.deadlines.after(CALL) => Ending::TooSlow,
+            };
+            door.callers.borrow_mut().remove(&number);
+            door.pool.release(connection);
+            ending.log(Side::Door, peer, u64::from(ending == Ending::LastMessage));
+        });
+    }
+
+    /// Answer the one call of a connection.
+    async fn call(&self, connection: &mut Framed<TcpStream, FrontendCodec>) -> Ending {
+        let (answer, ending) = loop {
+            match self.pool.next(connection).await {
+                None => return Ending::PeerClosed,
+                Some(Err(ReadError::Io(_))) => return Ending::PeerBroke,
+                Some(Err(ReadError::Bad { status, reason })) => {
+                    break (Answer::text(status, reason, true), Ending::Malformed)
+                }
+                Some(Ok(Incoming::Expects)) => {
+                    if self.pool.send(connection, Answer::Continue).await.is_err() {
+                        return Ending::PeerBroke;
+                    }
+                }
+                Some(Ok(Incoming::Request(request))) => break (self.answer(&request), Ending::LastMessage),
+            }
+        };
+        if self.pool.send(connection, answer).await.is_err() {
+            return Ending::PeerBroke;
+        }
+        // A socket closed over unread bytes is reset, which can cost the caller its answer.
+        if connection.get_mut().shutdown().await.is_ok() {
+            let rest = async {
+                while connection.get_ref().readable().await.is_ok() {
+                    match self.pool.scrap(connection) {
+                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                        Ok(n) if n > 0 => {}
+                        _ => return,
+                    }
+                }
+            };
+            tokio::select! {
+                () = rest => {}
+                () = self.deadlines.after(LINGER) => {}
+            }
+        }
+        ending
+    }
+
+    fn answer(&self, request: &Request) -> Answer {
+        let path = request.target.split('?').next().unwrap_or("");
+        let method = match path {
+            "/ops/readiness" => "GET",
+            "/ops/drain/start" | "/ops/drain/stop" => "POST",
+            _ => return Answer::text(404, "no such call", true),
+        };
+        if request.method != method {
+            return Answer::not_allowed(method, true);
+        }
+        match path {
+            "/ops/readiness" => match self.frontend.ready() {
+                Ok(()) => Answer::text(200, "ready", true),
+                Err(why) => Answer::text(503, why, true),
+            },
+            _ => {
+                let drain = path == "/ops/drain/start";
+                info!("an operator asks: {}", if drain { "drain" } else { "take clients" });
+                match self.frontend.drain(drain) {
+                    Ok(()) if drain => Answer::text(200, "draining", true),
+                    Ok(()) => Answer::text(200, "taking clients", true),
+                    Err(why) => Answer::text(409, why, true),
+                }
+            }
+        }
+    }
+}
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -17,6 +17,8 @@
     Evicted,
     /// This node is shutting down.
     Shutdown,
+    /// An operator has this node emptied.
+    Drained,
     /// One side asked for the end after a message.
     LastMessage,
     /// What came was malformed.
@@ -52,6 +54,7 @@
             Ending::Idle => "idle",
             Ending::Evicted => "evicted",
             Ending::Shutdown => "shutdown",
+            Ending::Drained => "drained",
             Ending::LastMessage => "last-message",
             Ending::Malformed => "malformed",
             Ending::TooSlow => "too-slow",
@@ -78,6 +81,8 @@
 pub enum Side {
     /// To a client.
     Frontend,
+    /// To an operator.
+    Door,
     /// To a backend server.
     Backend,
     /// To discovery.
@@ -88,6 +93,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Side::Frontend => "frontend",
+            Side::Door => "door",
             Side::Backend => "backend",
             Side::ServerTable => "server-table",
         })
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -192,6 +192,11 @@
         self.inner.borrow().names.tenants.name(0).is_some()
     }
 
+    /// Whether the server table holds anyone to dispatch to.
+    pub fn has_servers(&self) -> bool {
+        !self.inner.borrow().active.is_empty()
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.inner.borrow().open.len()
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -36,6 +36,11 @@
 /// The pause after each piece of that: a client that sends megabytes at full speed must not cost the
 /// node its CPU.
 const SIP: Duration = Duration::from_millis(5);
+/// Idle connections close this long after the node is told to send clients away: by then the front
+/// sends it no new ones, so that clients who come back go elsewhere, and all jobs on others have time.
+const DRAIN_IDLE: Duration = Duration::from_millis(800);
+/// While clients are sent away, a connection that has nothing to say has at least this long to begin.
+const DRAIN_FIRST: Duration = Duration::from_millis(400);
 /// The pause after a connection could not be accepted.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -53,6 +58,26 @@
     Closing,
 }
 
+/// What the frontend does with clients: how far it has come with stopping, and whether it is being
+/// emptied, which can be taken back.
+#[derive(Clone, Copy, Debug)]
+struct State {
+    stage: Stage,
+    /// Since when an operator has it emptied.
+    drained: Option<Instant>,
+}
+
+impl State {
+    /// Why no clients should be sent here, if they should not.
+    fn shuns(&self) -> Option<&'static str> {
+        match self {
+            State { stage, .. } if *stage > Stage::Serving => Some("stopping"),
+            State { drained: Some(_), .. } => Some("draining"),
+            _ => None,
+        }
+    }
+}
+
 /// The connections from clients.
 #[derive(Debug)]
 pub struct Frontend {
@@ -70,7 +95,9 @@
     ids: Ids,
     /// When the last answer is due, once the node is stopping.
     last: Cell<Option<Instant>>,
-    stage: watch::Sender<Stage>,
+    state: watch::Sender<State>,
+    /// Whether the listener is attended.
+    accepts: Cell<bool>,
 }
 
 type Ids = Rc<RefCell<HashSet<String>>>;
@@ -139,24 +166,55 @@
             idled: Cell::new(0),
             ids: Ids::default(),
             last: Cell::new(None),
-            stage: watch::channel(Stage::Serving).0,
+            state: watch::channel(State { stage: Stage::Serving, drained: None }).0,
+            accepts: Cell::new(false),
         })
     }
 
+    /// Whether clients are taken, or why not.
+    pub fn ready(&self) -> Result<(), &'static str> {
+        match self.state.borrow().shuns() {
+            Some(why) => Err(why),
+            None if !self.accepts.get() => Err("starting"),
+            None if !self.exchange.has_servers() => Err("no server table"),
+            None => Ok(()),
+        }
+    }
+
+    /// Send clients away, or take them again; the listener stays open all the while. Asked again it
+    /// changes nothing. Fails once the node is stopping, which can't be taken back.
+    pub fn drain(&self, drain: bool) -> Result<(), &'static str> {
+        if self.state.borrow().stage > Stage::Serving {
+            return Err("stopping");
+        }
+        self.state.send_if_modified(|s| {
+            let changes = s.drained.is_some() != drain;
+            if changes {
+                s.drained = drain.then(Instant::now);
+            }
+            changes
+        });
+        Ok(())
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.state.send_modify(|s| s.stage = stage);
+    }
+
     /// The node is going to stop: it is no longer healthy, but serves as before.
     pub fn leave(&self) {
-        self.stage.send_replace(Stage::Leaving);
+        self.enter(Stage::Leaving);
     }
 
     /// Accept no new connection. What still comes over the others is answered by then.
     pub fn refuse(&self, last: Instant) {
         self.last.set(Some(last));
-        self.stage.send_replace(Stage::Refusing);
+        self.enter(Stage::Refusing);
     }
 
     /// Take nothing new: idle connections close, the others after their answer.
     pub fn close(&self) {
-        self.stage.send_replace(Stage::Closing);
+        self.enter(Stage::Closing);
     }
 
     /// Ready once all connections have ended.
@@ -168,7 +226,8 @@
 
     /// Accept connections until told to close.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut stage = self.stage.subscribe();
+        let mut state = self.state.subscribe();
+        self.accepts.set(true);
         loop {
             // One more than allowed shows that another has to go. Only one that has ended makes room:
             // one that was told to go may have begun a request.
@@ -183,7 +242,7 @@
                 // All that waits is taken before the listener closes: its requests may have come.
                 accepted = listener.accept(), if !full => accepted,
                 () = self.changed.notified(), if full => continue,
-                _ = stage.wait_for(|s| *s >= Stage::Refusing) => return,
+                _ = state.wait_for(|s| s.stage >= Stage::Refusing) => return,
             };
             match accepted {
                 Ok((stream, peer)) => self.serve(stream, peer),
@@ -213,8 +272,8 @@
                 frontend.pool.framed::<Answer, _>(stream, FrontendCodec::new(&frontend.pool));
             let mut messages = 0;
             let ending = frontend.connection(&mut connection, &mut messages).await;
-            if matches!(ending, Ending::LastMessage | Ending::Malformed | Ending::Shutdown | Ending::TooSlow)
-            {
+            use Ending::{Drained, LastMessage, Malformed, Shutdown, TooSlow};
+            if matches!(ending, LastMessage | Malformed | Shutdown | Drained | TooSlow) {
                 frontend.linger(&mut connection).await;
             }
             frontend.pool.release(connection);
@@ -326,8 +385,11 @@
             };
             // A request that has come already is still served.
             let pending = next.is_some() || !connection.read_buffer().is_empty();
-            let closing = *self.stage.borrow() == Stage::Closing && !pending;
-            let last = !keep_alive || closing || answer.is_last();
+            let state = *self.state.borrow();
+            let closing = state.stage == Stage::Closing && !pending;
+            // A client that is sent away hears it with its answer, and connects elsewhere next.
+            let drained = state.drained.is_some() && !pending;
+            let last = !keep_alive || closing || drained || answer.is_last();
             if let Err(ending) = self.write(connection, last_if(answer, last)).await {
                 return ending;
             }
@@ -345,7 +407,7 @@
         has_served: bool,
     ) -> Result<Option<Result<Incoming, ReadError>>, Ending> {
         let (place, mut closed) = self.stand_idle(has_served);
-        let mut stage = self.stage.subscribe();
+        let mut unwanted = std::pin::pin!(self.unwanted());
         // Guards against connections that say nothing, or send a request without end.
         let due = opened.map_or_else(|| self.deadlines.after(IDLE), |o| self.deadlines.at(o + REQUEST));
         let mut due = std::pin::pin!(due);
@@ -358,7 +420,7 @@
                 item = self.pool.next(connection) => break Ok(item),
                 () = begun.notified(), if !has_begun => None,
                 _ = &mut closed, if ending.is_none() => Some(Ending::Evicted),
-                _ = stage.wait_for(|s| *s == Stage::Closing), if ending.is_none() => Some(Ending::Shutdown),
+                over = &mut unwanted, if ending.is_none() => Some(over),
                 () = &mut due => Some(Ending::Idle),
             };
             // One on which a request has begun is not idle: it may go on until its time is up.
@@ -371,6 +433,8 @@
                 (false, None) => {}
                 (false, Some(over)) => break Err(over),
                 (true, Some(Ending::Idle)) => break Err(Ending::TooSlow),
+                // It has its time: what has begun is served before the node counts as emptied.
+                (true, Some(Ending::Drained)) => (ending, has_begun) = (Some(Ending::Drained), true),
                 (true, Some(over)) => {
                     // Guards the end of the node, and the others' places, against requests that are
                     // never completed; and where one was to make room, the next is asked.
@@ -386,6 +450,31 @@
         item
     }
 
+    /// Why a connection should no longer stand idle, once that is so.
+    async fn unwanted(&self) -> Ending {
+        let (begun, mut state) = (Instant::now(), self.state.subscribe());
+        loop {
+            let now = *state.borrow_and_update();
+            if now.stage == Stage::Closing {
+                return Ending::Shutdown;
+            }
+            let due = now.drained.map(|since| (since + DRAIN_IDLE).max(begun + DRAIN_FIRST));
+            let drained = async {
+                match due {
+                    Some(due) => self.deadlines.at(due).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                changed = state.changed() => if changed.is_err() {
+                    return Ending::Shutdown;
+                },
+                () = drained => return Ending::Drained,
+            }
+        }
+    }
+
     async fn write(&self, connection: &mut Connection, answer: Answer) -> Result<(), Ending> {
         tokio::select! {
             biased;
@@ -407,12 +496,12 @@
     }
 
     fn health(&self, request: &Request) -> Answer {
-        let healthy = *self.stage.borrow() == Stage::Serving;
-        let (status, text) = if healthy { (200, "ok") } else { (503, "stopping") };
+        let shuns = self.state.borrow().shuns();
+        let (status, text) = shuns.map_or((200, "ok"), |why| (503, why));
         match request.method.as_str() {
             "GET" => Answer::text(status, text, false),
             "HEAD" => head_only(Answer::text(status, text, false)),
-            _ => not_allowed("GET, HEAD"),
+            _ => Answer::not_allowed("GET, HEAD", false),
         }
     }
 
@@ -425,7 +514,7 @@
         let class = name.and_then(|n| self.exchange.class(n));
         let Some(class) = class else { return Err(Answer::text(404, "no such class", true)) };
         if request.method != "POST" {
-            return Err(last_if(not_allowed("POST"), true));
+            return Err(Answer::not_allowed("POST", true));
         }
         let field = |name: &str| match request.fields.get(name) {
             Ok(value) => Ok(value.filter(|v| !v.is_empty())),
@@ -479,14 +568,6 @@
     found.filter(|n: &f64| n.is_finite())
 }
 
-fn not_allowed(methods: &str) -> Answer {
-    let mut answer = Answer::text(405, "method not allowed", false);
-    if let Answer::Full { fields, .. } = &mut answer {
-        *fields = format!("Allow: {methods}\r\n");
-    }
-    answer
-}
-
 fn head_only(mut answer: Answer) -> Answer {
     if let Answer::Full { head_only, .. } = &mut answer {
         *head_only = true;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod config;
 pub mod deadlines;
+pub mod door;
 pub mod ending;
 pub mod exchange;
 pub mod frontend;
@@ -14,6 +15,7 @@
 use backend::{Backend, Bounds};
 use config::{Config, ConfigError};
 use deadlines::Deadlines;
+use door::Door;
 use exchange::Exchange;
 use frontend::{Claim, Frontend};
 use pool::{Buffer, Pool};
@@ -46,7 +48,7 @@
 /// Why the node could not serve.
 #[derive(Debug, Error)]
 pub enum ServeError {
-    /// The address for clients can't be had.
+    /// The address for clients, or for operators, can't be had.
     #[error("can't listen on {address}: {source}")]
     Listen {
         /// The address.
@@ -109,6 +111,10 @@
     }
 }
 
+async fn listen(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    TcpListener::bind(address).await.map_err(|source| ServeError::Listen { address, source })
+}
+
 async fn run(
     mut config: Config,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
@@ -118,10 +124,15 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|source| ServeError::Listen { address: config.listen, source })?;
+    let listener = listen(config.listen).await?;
     let address = listener.local_addr()?;
+    let calls = match config.mgmt {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
+    if let Some(calls) = &calls {
+        info!("operators call at {}", calls.local_addr()?);
+    }
     let deadlines = Rc::new(Deadlines::default());
     let pool = Rc::new(Pool::new(config.limits.messages()));
     let (exchange, orders) = Exchange::new(&config.setup, config.seed, deadlines.clone());
@@ -147,6 +158,15 @@
     let orders = spawn_local(backend.clone().run(orders));
     let table = spawn_local(table.follow(std::mem::take(&mut config.known)));
     let mut accepting = spawn_local(frontend.clone().accept(listener));
+    let door = spawn_local({
+        let door = Door::new(frontend.clone(), deadlines.clone());
+        async move {
+            match calls {
+                Some(calls) => door.attend(calls).await,
+                None => std::future::pending().await,
+            }
+        }
+    });
     info!("{} serves on {address}", config.name);
     let reload = spawn_local(reload(hangup, config, again, discovery));
 
@@ -158,6 +178,7 @@
             _ = orders => "backend",
             _ = table => "server table",
             _ = reload => "configuration",
+            _ = door => "door",
         }
     };
     let mut parts = std::pin::pin!(parts);
--- /dev/null
+++ b/tests/node/operators.rs
@@ -0,0 +1,116 @@
+//! The node as its operators see it: the door, and what it does to clients.
+
+use crate::support::*;
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
+const READY: (&str, &str) = ("GET", "/ops/readiness");
+const DRAIN: (&str, &str) = ("POST", "/ops/drain/start");
+const RETURN: (&str, &str) = ("POST", "/ops/drain/stop");
+
+/// A node with a door, one backend server and an empty table of troubles.
+fn attended() -> (Node, Party) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    (Node::start(&config), server)
+}
+
+fn call(node: &Node, (method, path): (&str, &str)) -> u16 {
+    node.call(method, path)
+}
+
+#[rstest]
+fn the_door_says_whether_clients_are_taken() {
+    let (node, _server) = attended();
+    assert_eq!(call(&node, READY), 200);
+    for (method, path, status) in
+        [("POST", READY.1, 405), ("GET", DRAIN.1, 405), ("GET", "/ops/other", 404), ("GET", "/_health", 404)]
+    {
+        assert_eq!(node.call(method, path), status, "{method} {path}");
+    }
+    assert_eq!((call(&node, DRAIN), call(&node, READY)), (200, 503));
+    assert_eq!((call(&node, RETURN), call(&node, READY)), (200, 200));
+    node.terminate();
+    node.logs("told to stop");
+    assert_eq!((call(&node, READY), call(&node, DRAIN), call(&node, RETURN)), (503, 409, 409));
+}
+
+/// Not constant: without anyone to dispatch to the node is not ready.
+#[rstest]
+fn a_node_without_a_server_table_is_not_ready() {
+    let mut config = config(&[]);
+    config["mgmt"] = json!("127.0.0.1:1");
+    let node = Node::start_with(&config, |c| {
+        c.env("ROUTER_MGMT", "127.0.0.1:0");
+    });
+    assert_eq!(call(&node, READY), 503);
+}
+
+/// Callers that finish no call, and clients that fill the frontend, keep no operator waiting.
+#[rstest]
+fn idle_callers_and_a_full_frontend_hold_no_call_up() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    config["limits"]["sockets"] = json!(70);
+    let node = Node::start(&config);
+    let _clients: Vec<Peer> = (0..60).map(|_| node.client()).collect();
+    let mut idle: Vec<Peer> = (0..20).map(|_| node.operator()).collect();
+    idle.iter_mut().for_each(|c| c.send("GET /ops/readiness HTTP/1.1\r\nHost"));
+    let began = Instant::now();
+    assert_eq!(call(&node, READY), 200);
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+    assert!(node.logs("end door").contains("reason=evicted"));
+    while !node.logs("end door").contains("reason=too-slow") {}
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert!(node.descriptors() <= 70);
+}
+
+/// While it is emptied, health says no at once, on kept connections too; jobs are served, and their
+/// connections and idle ones end well within four seconds; a request that has begun is not cut off.
+#[rstest]
+fn a_drained_node_sends_clients_away_and_takes_them_again() {
+    let (node, server) = attended();
+    let [mut front, mut idle, mut slow] = [0, 1, 2].map(|_| node.client());
+    for client in [&mut front, &mut idle] {
+        client.send(HEALTH);
+        assert_eq!(client.message().status(), 200);
+    }
+    let mut held = node.ask("held", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    let text = job("slow", "/zone-plan", "5000m", "");
+    slow.send(&text[..40]);
+    let began = Instant::now();
+    assert_eq!((call(&node, DRAIN), call(&node, DRAIN)), (200, 200));
+    front.send(HEALTH);
+    let answer = front.message();
+    assert_eq!((answer.status(), answer.field("Connection")), (503, Some("close")));
+    backend.serve("held", "1");
+    let answer = held.message();
+    assert_eq!((answer.body.as_str(), answer.field("Connection")), ("1", Some("close")));
+    // New connections still come for a moment, and are served.
+    let mut late = node.ask("late", "/zone-plan");
+    assert_eq!(backend.id(), "late");
+    backend.serve("late", "2");
+    let answer = late.message();
+    assert_eq!((answer.body.as_str(), answer.field("Connection")), ("2", Some("close")));
+    assert!(idle.ended() && held.ended() && late.ended());
+    assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
+    slow.send(&text[40..]);
+    assert_eq!(backend.id(), "slow");
+    backend.serve("slow", "3");
+    assert_eq!(slow.message().body, "3");
+    node.logs("reason=drained");
+    assert_eq!(call(&node, RETURN), 200);
+    let mut client = node.client();
+    client.send(HEALTH);
+    assert_eq!(client.message().status(), 200);
+    client.send(&job("after", "/zone-plan", "5000m", ""));
+    backend.message();
+    backend.serve("after", "4");
+    assert_eq!(client.message().field("Connection"), None);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -63,6 +63,8 @@
     child: Child,
     file: PathBuf,
     pub address: SocketAddr,
+    /// Where operators call, if the configuration names such an address.
+    door: Option<SocketAddr>,
     log: Receiver<String>,
     stall: Sender<()>,
 }
@@ -96,10 +98,17 @@
                 std::mem::forget(lines);
             }
         });
-        let mut node = Node { child, file, address: ([127, 0, 0, 1], 1).into(), log, stall };
-        let line = node.logs("serves on ");
-        node.address = line.rsplit(' ').next().unwrap().parse().unwrap();
-        node
+        let mut node = Node { child, file, address: ([127, 0, 0, 1], 1).into(), door: None, log, stall };
+        loop {
+            let line = node.logs("");
+            let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
+            if line.contains("operators call at ") {
+                node.door = address;
+            } else if line.contains("serves on ") {
+                node.address = address.unwrap();
+                return node;
+            }
+        }
     }
 
     /// The next line of the log that holds the text.
@@ -129,6 +138,20 @@
         Peer::new(TcpStream::connect(self.address).unwrap())
     }
 
+    /// An operator who has connected.
+    pub fn operator(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.door.unwrap()).unwrap())
+    }
+
+    /// The status that an operator's call brings.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        let mut operator = self.operator();
+        operator.send(&format!("{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"));
+        let status = operator.message().status();
+        assert!(operator.ended(), "one call to a connection");
+        status
+    }
+
     pub fn client_refused(&self) -> bool {
         TcpStream::connect(self.address).is_err()
     }
