Take new settings over at SIGHUP as an event of the module

At fault: Config::renew, which only compared them, and serde defaults in settings.rs, which hid missing keys. Tests: new rules beside open jobs under the old ones, and eight broken files; both fail on the parent.

--- a/src/api.rs
+++ b/src/api.rs
@@ -72,7 +72,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ClassSettings {
     /// Wanted within this time plus `stretch` times the request's own work.
     pub aim: Micros,
@@ -177,6 +177,17 @@
     pub only_draining_binds: bool,
 }
 
+/// Settings that take the place of others. A class keeps its number while its rules stay; one that no
+/// request or attempt holds (see [`crate::Balancer::uses`]) may stand for another class. Tenants keep
+/// theirs.
+#[derive(Clone, Debug)]
+pub struct Retuned {
+    /// The settings; rules of classes that are no longer asked for stay in their places.
+    pub settings: Settings,
+    /// The numbers that stand for other rules than before, each with the class that it follows.
+    pub fresh: Vec<(ClassId, Option<ClassId>)>,
+}
+
 /// Where a worker stands, by the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -308,6 +319,8 @@
         /// Its place.
         place: usize,
     },
+    /// Other settings hold from now on.
+    Retune(Box<Retuned>),
     /// A wake-up asked for by [`Action::Wake`].
     Wake,
     /// Another scheduler of the tier has sent a message.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,16 +56,9 @@
 impl Balancer {
     /// A scheduler that knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let mut lanes: Vec<Lane> = Vec::new();
-        for c in &set.classes {
-            if !lanes.iter().any(|l| l.kind == c.kind) {
-                let buckets = vec![Bucket::default(); set.tenants.len() + 1];
-                lanes.push(Lane { kind: c.kind, buckets, ..Lane::default() });
-            }
-        }
-        // Until a job has ended: half its aim, up to the whole where the wanted time grows with it.
-        let guess = |c: &ClassSettings| c.aim.max(1) as f64 * (1.0 + c.stretch) / (2.0 + c.stretch);
-        let work = set.classes.iter().map(guess).collect();
+        let mut lanes = Vec::new();
+        set.furnish(&mut lanes);
+        let work = set.classes.iter().map(ClassSettings::guess).collect();
         Balancer {
             rng: Random::new(seed),
             lanes,
@@ -107,6 +100,7 @@
             Event::Outcome { id, attempt, status, settled } => {
                 self.outcome(id, attempt, status, settled, out)
             }
+            Event::Retune(renewed) => self.retune(*renewed),
             Event::Gone(id) => self.over(id, true),
             Event::Wake if self.armed.is_some_and(|at| at <= now) => self.armed = None,
             Event::Wake => {}
@@ -128,6 +122,38 @@
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// Whether a request or an attempt holds the number of that class.
+    pub fn uses(&self, class: ClassId) -> bool {
+        self.requests.values().any(|h| h.job.class == class)
+            || self.attempts.values().any(|a| a.job.class == class)
+    }
+
+    /// Other settings. Open requests keep the rules that they came under; a class with other rules
+    /// has learned what the one that it follows had.
+    fn retune(&mut self, renewed: Retuned) {
+        let set = renewed.settings;
+        let work = self.work.clone();
+        self.work.resize(set.classes.len(), 0.0);
+        for &(class, from) in renewed.fresh.iter().filter(|(class, from)| *from != Some(*class)) {
+            let known = from.and_then(|f| work.get(f.0)).copied();
+            self.work[class.0] = known.unwrap_or_else(|| set.classes[class.0].guess());
+            let about = |a: &About, from| a.of_other(from, class);
+            self.doubts.retain(|a, _| about(a, class).is_none());
+            let moved = |(a, d): (&About, &Doubt)| Some((about(a, from?)?, d.clone()));
+            let inherited: Vec<_> = self.doubts.iter().filter_map(moved).collect();
+            self.doubts.extend(inherited);
+        }
+        set.furnish(&mut self.lanes);
+        self.demand.resize(set.tenants.len());
+        self.set = set;
+        self.order();
+    }
+
     fn woken(&mut self, wake: Wake, out: &mut Vec<Action>) {
         match wake {
             // Held, it can no longer be in time, or its client leaves: refused while that is harmless.
@@ -250,8 +276,9 @@
         }
         let (start, finish) = self.tag(lane, tenant, size, wanted);
         job.excess = tenant < self.set.tenants.len() && start > self.now + self.lanes[lane].offset;
-        let held =
-            Held { job, start, finish, attempts: 0, out: false, queued: false, ran: None, rejected: None };
+        let most = self.most_attempts();
+        let (attempts, sent, queued, ran, rejected) = (0, false, false, None, None);
+        let held = Held { job, start, finish, attempts, most, out: sent, queued, ran, rejected };
         self.requests.insert(r.id, held);
         self.wakes.insert((deadline - self.set.tick.max(1_000), Wake::Answer(r.id)));
         // Departure: where most clients leave early it is held no longer than they stay. A few do
@@ -817,7 +844,7 @@
         let at_fault = |about| self.doubts.get(about).is_some_and(|d| d.length > 0 && !d.healed);
         let fault = !self.doubts.is_empty() && About::of_job(&held.job).iter().any(at_fault);
         let time = held.job.deadline > self.now + self.set.tick;
-        worthy && again && !fault && time && held.attempts < self.most_attempts()
+        worthy && again && !fault && time && held.attempts < held.most
     }
 
     /// Whether one more further attempt keeps to the ration: of those in the span, its first moment
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -2,6 +2,7 @@
 //! exchange's orders, reports what becomes of them, and sends nothing again by itself.
 
 use super::codec::{ClientCodec, Outgoing, Piece, ReadError, MAX_BODY};
+use super::config::Config;
 use super::deadlines::Deadlines;
 use super::ending::{Ending, Side};
 use super::exchange::{DispatchId, Exchange, Order};
@@ -20,6 +21,8 @@
 use tokio_util::codec::Framed;
 use tracing::{debug, warn};
 
+/// Connections to backend servers are closed after this part of the time that those allow.
+const IDLE_PART: f64 = 0.7;
 /// How long the end of an answer may take after its last line.
 const TAIL: Duration = Duration::from_millis(200);
 
@@ -36,13 +39,25 @@
     pub idle: Duration,
 }
 
+impl Bounds {
+    /// Those of a configuration.
+    pub fn of(config: &Config) -> Self {
+        let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
+        Bounds {
+            connections: config.limits.connections(),
+            connect_timeout: micros(config.setup.connect_timeout()),
+            idle: micros(config.setup.conn_idle()).mul_f64(IDLE_PART),
+        }
+    }
+}
+
 /// The connections to backend servers.
 #[derive(Debug)]
 pub struct Backend {
     exchange: Rc<Exchange<Job>>,
     deadlines: Rc<Deadlines>,
     pool: Rc<Pool>,
-    bounds: Bounds,
+    bounds: Cell<Bounds>,
     servers: RefCell<HashMap<WorkerId, Server>>,
     /// What calls off the attempts that are out.
     out: RefCell<HashMap<DispatchId, oneshot::Sender<()>>>,
@@ -128,7 +143,7 @@
             exchange,
             deadlines,
             pool,
-            bounds,
+            bounds: Cell::new(bounds),
             servers: RefCell::default(),
             out: RefCell::default(),
             connections: Cell::new(0),
@@ -137,6 +152,11 @@
         })
     }
 
+    /// Keep to other bounds from now on.
+    pub fn bound(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+    }
+
     /// Carry out orders for as long as the exchange lasts.
     pub async fn run(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Order<Job>>) {
         while let Some(order) = orders.recv().await {
@@ -239,7 +259,7 @@
         };
         // Guards against running out of descriptors. The place of one that is evicted is free a moment
         // later, so the bound is one over for that long.
-        if self.connections.get() >= self.bounds.connections && !self.evict() {
+        if self.connections.get() >= self.bounds.get().connections && !self.evict() {
             warn!("no connection is left for a dispatch");
             return self.report(dispatch.id, Status::ConnectFailed);
         }
@@ -317,7 +337,7 @@
         active: &mut watch::Receiver<bool>,
         dispatch: &mut Dispatch,
     ) -> Result<TcpStream, (Status, Ending)> {
-        let wait = (Instant::now() + self.bounds.connect_timeout).min(dispatch.until);
+        let wait = (Instant::now() + self.bounds.get().connect_timeout).min(dispatch.until);
         let stream = tokio::select! {
             biased;
             _ = &mut dispatch.cancelled => return Err((Status::Cancelled, Ending::Cancelled)),
@@ -351,7 +371,7 @@
                 Some(Task::Close(ending)) => ending,
                 None => Ending::Shutdown,
             },
-            () = self.deadlines.after(self.bounds.idle) => Ending::Idle,
+            () = self.deadlines.after(self.bounds.get().idle) => Ending::Idle,
         };
         tasks.close();
         match tasks.try_recv() {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,8 @@
 use super::server_table::{EntryError, Listing};
 use crate::settings::Setup;
 use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -32,6 +34,8 @@
     pub known: Listing,
     /// The settings object.
     pub setup: Setup,
+    /// All keys of the file, each with the way to it.
+    keys: BTreeSet<String>,
 }
 
 /// What the node may use.
@@ -92,9 +96,12 @@
     /// A known backend server can't be used.
     #[error("'known': {0}")]
     Known(#[from] EntryError),
-    /// Nothing could be served.
-    #[error("'settings' names no classes")]
-    NoClasses,
+    /// Nothing could be served by the settings.
+    #[error("'settings' {0}")]
+    Settings(&'static str),
+    /// A key is missing that the configuration in force has.
+    #[error("'{0}' is missing")]
+    Missing(String),
     /// There is no room for connections.
     #[error("'limits.sockets' is {0}: at least {least} are needed", least = OWN_SOCKETS + 16)]
     FewSockets(usize),
@@ -120,8 +127,9 @@
     pub fn read(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let text = std::fs::read(path)
             .map_err(|source| ConfigError::Unreadable { path: path.to_path_buf(), source })?;
-        let file: File = serde_json::from_slice(&text)
-            .map_err(|source| ConfigError::Malformed { path: path.to_path_buf(), source })?;
+        let malformed = |source| ConfigError::Malformed { path: path.to_path_buf(), source };
+        let file: File = serde_json::from_slice(&text).map_err(malformed)?;
+        let keys = keys(&serde_json::from_slice(&text).map_err(malformed)?);
         let address = |field, value: String| {
             let wrong = |_| ConfigError::Value { field, wanted: "address with a port", value: value.clone() };
             value.parse().map_err(wrong)
@@ -139,8 +147,8 @@
             })?,
         };
         file.known.check()?;
-        if !file.settings.names_classes() {
-            return Err(ConfigError::NoClasses);
+        if let Some(fault) = file.settings.fault() {
+            return Err(ConfigError::Settings(fault));
         }
         if file.limits.sockets < OWN_SOCKETS + 16 {
             return Err(ConfigError::FewSockets(file.limits.sockets));
@@ -155,6 +163,7 @@
             limits: file.limits,
             known: file.known,
             setup: file.settings,
+            keys,
         })
     }
 
@@ -164,21 +173,63 @@
         Config::read(path, |name| (name != "ROUTER_DISCOVERY").then(|| variable(name)).flatten())
     }
 
-    /// Take over from a newer one what may change while the node runs, which is where discovery is:
-    /// there, if the file names another one. Then what has changed that only a restart brings.
-    pub fn renew(&mut self, newer: Config) -> (Option<SocketAddr>, Vec<&'static str>) {
+    /// Take over from a newer one what may change while the node runs: where discovery is, if the file
+    /// names another one, and the settings. Then what has changed that only a restart brings. One that
+    /// can't be used changes nothing at all.
+    pub fn renew(&mut self, newer: Config) -> Result<Renewed, ConfigError> {
+        // Guards against a file that was cut short or written by halves: where a key is left out its
+        // default would take the place of the value in force, unseen.
+        if let Some(key) = self.keys.difference(&newer.keys).next() {
+            return Err(ConfigError::Missing(key.clone()));
+        }
         let same = [
             ("name", self.name == newer.name),
             ("listen", self.listen == newer.listen),
             ("mgmt", self.mgmt == newer.mgmt),
             ("limits", self.limits == newer.limits),
-            ("settings", self.setup == newer.setup),
         ];
         let waits = same.into_iter().filter(|(_, same)| !same).map(|(field, _)| field).collect();
         let moved = newer.filed.filter(|_| newer.filed != self.filed);
+        let retuned = self.setup != newer.setup;
         self.filed = newer.filed;
         self.discovery = moved.unwrap_or(self.discovery);
-        (moved, waits)
+        self.setup = newer.setup;
+        self.keys = newer.keys;
+        Ok(Renewed { moved, retuned, waits })
+    }
+}
+
+/// What a newer configuration changes.
+#[derive(Debug)]
+pub struct Renewed {
+    /// Discovery is there now.
+    pub moved: Option<SocketAddr>,
+    /// The settings are others.
+    pub retuned: bool,
+    /// What has changed that only a restart brings.
+    pub waits: Vec<&'static str>,
+}
+
+/// Keys that may be left out, and one under which the entries need not be alike.
+const OPTIONAL: [&str; 2] = ["aim_stretch", "members"];
+
+/// All keys of an object and of those in it, each with the way to it. Of the objects of a list those
+/// that all have, so that no entry can lack one.
+fn keys(value: &Value) -> BTreeSet<String> {
+    match value {
+        Value::Object(fields) => {
+            let mut all = BTreeSet::new();
+            for (name, value) in fields.iter().filter(|(name, _)| !OPTIONAL.contains(&name.as_str())) {
+                all.extend(keys(value).into_iter().map(|key| format!("{name}.{key}")));
+                all.insert(name.clone());
+            }
+            all
+        }
+        Value::Array(entries) => {
+            let each = entries.iter().map(keys);
+            each.reduce(|all, one| all.intersection(&one).cloned().collect()).unwrap_or_default()
+        }
+        _ => BTreeSet::new(),
     }
 }
 
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -138,6 +138,9 @@
 #[derive(Debug)]
 struct Inner<P> {
     balancer: Balancer,
+    setup: Setup,
+    /// Processes that are this one node at present.
+    parts: u32,
     names: Catalogue,
     clock: Clock,
     open: HashMap<RequestId, Taken<P>>,
@@ -166,6 +169,8 @@
         let (orders, given) = mpsc::unbounded_channel();
         let inner = Inner {
             balancer: Balancer::new(settings, seed),
+            setup: setup.clone(),
+            parts: 1,
             names,
             clock: Clock::start(),
             open: HashMap::new(),
@@ -197,6 +202,30 @@
         !self.inner.borrow().active.is_empty()
     }
 
+    /// Other settings hold for what comes from now on.
+    pub fn retune(&self, setup: Setup) {
+        self.renew(|inner| inner.setup = setup);
+    }
+
+    /// So many processes are this one node: what the node may do is shared among as many more
+    /// schedulers. Guards the backend servers that have just started, which all nodes together must
+    /// not send too much.
+    pub fn share(&self, parts: u32) {
+        self.renew(|inner| inner.parts = parts);
+    }
+
+    fn renew(&self, change: impl FnOnce(&mut Inner<P>)) {
+        let renewed = {
+            let mut inner = self.inner.borrow_mut();
+            change(&mut inner);
+            let Inner { balancer, setup, names, parts, .. } = &mut *inner;
+            let mut renewed = setup.renew(names, balancer.settings(), |class| balancer.uses(class));
+            renewed.settings.instances *= *parts;
+            renewed
+        };
+        self.tell(Event::Retune(Box::new(renewed)));
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.inner.borrow().open.len()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -64,8 +64,6 @@
     Start(#[from] std::io::Error),
 }
 
-/// Connections to backend servers are closed after this part of the time that those allow.
-const IDLE_PART: f64 = 0.7;
 /// After SIGTERM the node takes requests as before for this long: new connections and requests go on
 /// coming for 0.7 s, and each must be answered.
 const DRAIN: Duration = Duration::from_millis(750);
@@ -91,22 +89,30 @@
     mut hangup: Signal,
     mut config: Config,
     again: impl Fn() -> Result<Config, ConfigError>,
+    exchange: Rc<Exchange<Job>>,
+    backend: Rc<Backend>,
     discovery: watch::Sender<SocketAddr>,
 ) {
     while hangup.recv().await.is_some() {
-        match again() {
-            Ok(newer) => {
-                let (moved, waits) = config.renew(newer);
-                info!("configuration read again: discovery at {}", config.discovery);
-                if !waits.is_empty() {
-                    warn!("a restart is needed for what has changed in: {}", waits.join(", "));
-                }
-                if let Some(address) = moved {
-                    discovery.send_replace(address);
-                }
+        // Guards against a file that can't be used: the node serves on by the old one, whole.
+        let renewed = match again().and_then(|newer| config.renew(newer)) {
+            Ok(renewed) => renewed,
+            Err(e) => {
+                warn!("the old configuration stays: {e}");
+                continue;
             }
-            // Guards against a file that can't be used: the node serves on by the old one.
-            Err(e) => warn!("the old configuration stays: {e}"),
+        };
+        info!("configuration read again: discovery at {}", config.discovery);
+        if !renewed.waits.is_empty() {
+            warn!("a restart is needed for what has changed in: {}", renewed.waits.join(", "));
+        }
+        if renewed.retuned {
+            info!("new settings hold");
+            exchange.retune(config.setup.clone());
+            backend.bound(Bounds::of(&config));
+        }
+        if let Some(address) = renewed.moved {
+            discovery.send_replace(address);
         }
     }
 }
@@ -136,13 +142,7 @@
     let deadlines = Rc::new(Deadlines::default());
     let pool = Rc::new(Pool::new(config.limits.messages()));
     let (exchange, orders) = Exchange::new(&config.setup, config.seed, deadlines.clone());
-    let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
-    let bounds = Bounds {
-        connections: config.limits.connections(),
-        connect_timeout: micros(config.setup.connect_timeout()),
-        idle: micros(config.setup.conn_idle()).mul_f64(IDLE_PART),
-    };
-    let backend = Backend::new(exchange.clone(), deadlines.clone(), pool.clone(), bounds);
+    let backend = Backend::new(exchange.clone(), deadlines.clone(), pool.clone(), Bounds::of(&config));
     let (discovery, told) = watch::channel(config.discovery);
     let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told);
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool, config.limits.connections());
@@ -168,7 +168,7 @@
         }
     });
     info!("{} serves on {address}", config.name);
-    let reload = spawn_local(reload(hangup, config, again, discovery));
+    let reload = spawn_local(reload(hangup, config, again, exchange.clone(), backend.clone(), discovery));
 
     // Guards against a node that goes on without one of its parts: a panic ends only its task.
     let parts = async {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,7 +7,7 @@
 use std::hash::Hasher;
 
 /// The settings object as it is written; what is missing counts as nothing allowed or known.
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 pub struct Setup {
     allowed: Allowed,
@@ -26,7 +26,7 @@
     zone: String,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct Allowed {
     cancel: bool,
@@ -38,7 +38,7 @@
     try_limit: u32,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct Class {
     name: String,
@@ -51,14 +51,14 @@
     target_ms: f64,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct Costs {
     cross_zone: f64,
     origin: f64,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct FamilyInfo {
     class_kind: Vec<i64>,
@@ -66,7 +66,7 @@
     tells_start: bool,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct Project {
     name: String,
@@ -74,7 +74,7 @@
     quota_rps: f64,
 }
 
-#[derive(Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
 #[serde(default)]
 struct Rules {
     drain_grace_ms: f64,
@@ -171,11 +171,60 @@
             tenants: Names::of(self.projects.iter().map(|p| &p.name)),
             ..Catalogue::default()
         };
-        (settings(self, &mut names.zones), names)
+        (settings(self, &mut names), names)
     }
-    /// Whether there is a class to serve.
-    pub fn names_classes(&self) -> bool {
-        !self.classes.is_empty()
+    /// What takes the place of the settings in force, with the names behind its numbers. Numbers go on
+    /// meaning what they meant: a class with other rules gets one that nothing uses any more, or a new
+    /// one. Classes and tenants that are left out are no longer found by their names.
+    pub fn renew(&self, names: &mut Catalogue, old: &Settings, uses: impl Fn(ClassId) -> bool) -> Retuned {
+        let mut new = settings(self, names);
+        let classes = std::mem::replace(&mut new.classes, old.classes.clone());
+        let stays = |name: &String, class: &ClassSettings| {
+            names.classes.get(name).filter(|&n| old.classes.get(n as usize) == Some(class))
+        };
+        let all: Vec<_> = self.classes.iter().map(|c| &c.name).zip(classes).collect();
+        let mut index: HashMap<String, u32> =
+            all.iter().filter_map(|(name, class)| Some(((*name).clone(), stays(name, class)?))).collect();
+        let mut fresh = Vec::new();
+        for (name, class) in all {
+            if index.contains_key(name) {
+                continue;
+            }
+            let free = |k: &usize| !index.values().any(|n| *n as usize == *k) && !uses(ClassId(*k));
+            let from = names.classes.get(name).map(|n| n as usize);
+            let followed =
+                |k: &usize| self.classes.iter().any(|c| names.classes.get(&c.name) == Some(*k as u32));
+            // Its own number first, and none that another class's learning is still to be taken from.
+            let number =
+                from.filter(free).or_else(|| (0..new.classes.len()).find(|k| free(k) && !followed(k)));
+            let number = number.unwrap_or(new.classes.len());
+            new.classes.resize_with(new.classes.len().max(number + 1), ClassSettings::default);
+            new.classes[number] = class;
+            fresh.push((ClassId(number), from.map(ClassId)));
+            index.insert(name.clone(), number as u32);
+        }
+        names.classes.index = index;
+        let tenants = std::mem::take(&mut new.tenants);
+        new.tenants = old.tenants.iter().map(|_| TenantSettings { share: 0.0, quota_per_s: 0.0 }).collect();
+        for (project, tenant) in self.projects.iter().zip(tenants) {
+            let number = names.tenants.number(&project.name) as usize;
+            new.tenants.resize(new.tenants.len().max(number + 1), tenant.clone());
+            new.tenants[number] = tenant;
+        }
+        names.tenants.index.retain(|name, _| self.projects.iter().any(|p| p.name == *name));
+        Retuned { settings: new, fresh }
+    }
+    /// What is wrong with these settings for a node to serve by, if anything is.
+    pub fn fault(&self) -> Option<&'static str> {
+        let bad = |c: &Class| !(c.deadline_ms > 0.0 && c.deadline_ms.is_finite()) || c.name.is_empty();
+        let twice = |c: &Class| self.classes.iter().filter(|d| d.name == c.name).count() > 1;
+        match self {
+            _ if self.classes.is_empty() => Some("names no classes"),
+            _ if self.classes.iter().any(bad) => Some("has a class without a name or a deadline over 0"),
+            _ if self.classes.iter().any(twice) => Some("names a class twice"),
+            _ if self.allowed.try_limit == 0 => Some("allows no attempts"),
+            _ => None,
+        }
     }
     /// How long a connection may take to come up; a second where the settings don't say.
     pub fn connect_timeout(&self) -> Micros {
@@ -196,9 +245,9 @@
     }
 }
 
-fn settings(setup: &Setup, zones: &mut Names) -> Settings {
+fn settings(setup: &Setup, names: &mut Catalogue) -> Settings {
     let f = &setup.family_info;
-    let kinds = setup.kinds.len() as i64;
+    let kinds: Vec<KindId> = setup.kinds.iter().map(|k| KindId(names.kinds.number(k))).collect();
     let class = |(i, c): (usize, &Class)| ClassSettings {
         aim: micros(c.target_ms),
         stretch: c.aim_stretch.or(f.class_stretch.get(i).copied()).unwrap_or(0.0),
@@ -216,12 +265,12 @@
             },
             _ => Effect::Unsafe,
         },
-        kind: f.class_kind.get(i).filter(|k| (0..kinds).contains(*k)).map(|&k| KindId(k as u32)),
+        kind: f.class_kind.get(i).and_then(|&k| kinds.get(usize::try_from(k).ok()?)).copied(),
     };
     Settings {
         instances: setup.replicas_of_me.max(1),
         rank: setup.rank,
-        zone: ZoneId(zones.number(&setup.zone)),
+        zone: ZoneId(names.zones.number(&setup.zone)),
         tick: micros(setup.granularity_ms).max(1),
         classes: setup.classes.iter().enumerate().map(class).collect(),
         tenants: setup
--- a/src/state.rs
+++ b/src/state.rs
@@ -190,8 +190,14 @@
 impl Demand {
     /// Nothing asked for or heard yet.
     pub fn new(tenants: usize) -> Self {
-        let asked = vec![Decayed::default(); tenants + 1];
-        Demand { asked, born: None, others: vec![0.0; tenants], heard: 0 }
+        let mut demand = Demand::default();
+        demand.resize(tenants);
+        demand
+    }
+    /// As many tenants as that from now on.
+    pub fn resize(&mut self, tenants: usize) {
+        self.asked.resize(tenants + 1, Decayed::default());
+        self.others.resize(tenants, 0.0);
     }
     /// Take a message in; the mean is one of the last eight.
     pub fn hear(&mut self, words: &[u8]) {
@@ -203,7 +209,24 @@
     }
 }
 
+impl ClassSettings {
+    /// Until a job has ended: half its aim, up to the whole where the wanted time grows with it.
+    pub(crate) fn guess(&self) -> f64 {
+        self.aim.max(1) as f64 * (1.0 + self.stretch) / (2.0 + self.stretch)
+    }
+}
+
 impl Settings {
+    /// Add the lanes and buckets that are missing. A tenant more takes the place of "none", so that what
+    /// is counted under a number stays there.
+    pub(crate) fn furnish(&self, lanes: &mut Vec<Lane>) {
+        for c in &self.classes {
+            if !lanes.iter().any(|l| l.kind == c.kind) {
+                lanes.push(Lane { kind: c.kind, ..Lane::default() });
+            }
+        }
+        lanes.iter_mut().for_each(|l| l.buckets.resize(self.tenants.len() + 1, Bucket::default()));
+    }
     /// The span over which "recently" is counted: the longest time that a client waits.
     pub(crate) fn span(&self) -> f64 {
         self.classes.iter().map(|c| c.deadline).max().unwrap_or(1).max(1_000_000) as f64
@@ -370,6 +393,14 @@
         let (class, tenant) = (About::Class(w.worker, job.class.0), About::Tenant(w.worker, job.tenant));
         [class, tenant, About::Worker(w.worker), About::Zone(w.zone.0), About::Kind(w.kind.0)]
     }
+    /// The same of another class, where it is about this one.
+    pub fn of_other(self, class: ClassId, other: ClassId) -> Option<About> {
+        match self {
+            About::Class(w, c) if c == class.0 => Some(About::Class(w, other.0)),
+            About::OfClass(c) if c == class.0 => Some(About::OfClass(other.0)),
+            _ => None,
+        }
+    }
     /// What a job has in common with others, wherever they run.
     pub fn of_job(job: &Job) -> [About; 3] {
         let class = About::OfClass(job.class.0);
@@ -436,6 +467,8 @@
     pub start: Micros,
     pub finish: Micros,
     pub attempts: u32,
+    /// How many it may have, by the rules that it came under.
+    pub most: u32,
     pub out: bool,
     pub queued: bool,
     /// The first attempt that may have run: where and when.
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -114,3 +114,89 @@
     backend.serve("after", "4");
     assert_eq!(client.message().field("Connection"), None);
 }
+
+/// A configuration with other settings, of which the open job knows nothing: it is tried again by the
+/// rules that it came under, while new ones come under the new rules.
+#[rstest]
+fn new_settings_hold_for_what_comes_and_old_ones_for_what_is_open() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    let node = Node::start(&config);
+    let mut open = node.ask("open", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    let classes = &mut config["settings"]["classes"];
+    classes[1]["name"] = json!("vent-plan");
+    classes[1]["semantics"] = json!("free");
+    classes[0]["semantics"] = json!("single_shot");
+    config["settings"]["allowed"]["try_limit"] = json!(2);
+    node.replace(&config.to_string());
+    node.hang_up();
+    node.logs("new settings hold");
+    assert_eq!(node.ask("x", "/actuator-cmd").message().status(), 404);
+    // Twice it may have run, and a third time it is tried: it was free, and had three attempts.
+    for _ in 0..2 {
+        backend.send("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(backend.id(), "open");
+    }
+    backend.serve("open", "1");
+    assert_eq!(open.message().body, "1");
+    // A new one of that class may not run twice, and one of the new class may, but has two attempts.
+    for (target, attempts, status) in [("/zone-plan", 1, 502), ("/vent-plan", 2, 503)] {
+        let mut client = node.ask("new", target);
+        for _ in 0..attempts {
+            assert_eq!(backend.id(), "new");
+            backend.send("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+        }
+        assert_eq!(client.message().status(), status, "{target}");
+    }
+    assert!(server.is_left_alone());
+}
+
+/// A file that can't be used changes nothing: neither classes nor where discovery is.
+#[rstest]
+#[case::empty("", "", Some("0"), "EOF")]
+#[case::cut_off("", "", Some("400"), "EOF")]
+#[case::no_deadline("/settings/classes/0", "deadline_ms", Some("0.0"), "deadline")]
+#[case::no_attempts("/settings/allowed", "try_limit", Some("0"), "attempts")]
+#[case::negative("/settings/allowed", "try_limit", Some("-1"), "invalid value")]
+#[case::short_of_rules("/settings", "rules", None, "'settings.rules")]
+#[case::short_of_semantics("/settings/classes/1", "semantics", None, "'settings.classes.semantics'")]
+#[case::short_of_a_name("", "name", None, "'name'")]
+fn a_broken_file_changes_nothing(
+    #[case] place: &str,
+    #[case] key: &str,
+    #[case] value: Option<&str>,
+    #[case] says: &str,
+) {
+    let (server, first, second) = (Party::new(), Party::new(), Party::new());
+    let mut config = config(&[server.address]);
+    config["discovery"] = json!(first.address.to_string());
+    let node = Node::start(&config);
+    let mut watch = first.accept();
+    watch.message();
+    config["discovery"] = json!(second.address.to_string());
+    config["settings"]["classes"][1]["name"] = json!("vent-plan");
+    let object = config.pointer_mut(place).and_then(Value::as_object_mut).unwrap();
+    let text = match value {
+        Some(length) if key.is_empty() => config.to_string()[..length.parse().unwrap()].to_string(),
+        Some(value) => {
+            object[key] = value.parse().unwrap();
+            config.to_string()
+        }
+        None => {
+            assert!(object.remove(key).is_some());
+            config.to_string()
+        }
+    };
+    node.replace(&text);
+    node.hang_up();
+    assert!(node.logs("the old configuration stays").contains(says));
+    assert_eq!(node.ask("x", "/vent-plan").message().status(), 404);
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(second.is_left_alone());
+}
