--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -40,11 +40,11 @@
 }
 
 impl Bounds {
-    /// Those of a configuration.
-    pub fn of(config: &Config) -> Self {
+    /// Those of a configuration, for one of so many processes that share it.
+    pub fn of(config: &Config, parts: u32) -> Self {
         let micros = |t: i64| Duration::from_micros(t.max(0) as u64);
         Bounds {
-            connections: config.limits.connections(),
+            connections: config.limits.connections(parts),
             connect_timeout: micros(config.setup.connect_timeout()),
             idle: micros(config.setup.conn_idle()).mul_f64(IDLE_PART),
         }
@@ -155,6 +155,14 @@
     /// Keep to other bounds from now on.
     pub fn bound(&self, bounds: Bounds) {
         self.bounds.set(bounds);
+        for _ in bounds.connections..self.connections.get() {
+            self.evict();
+        }
+    }
+
+    /// What it may use.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
     }
 
     /// Carry out orders for as long as the exchange lasts.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -48,11 +48,12 @@
 }
 
 impl Limits {
-    /// How many connections either side may hold. Clients may use a third of all descriptors for their
-    /// requests, and each of these a connection to a backend server; what memory they take is bounded
-    /// by itself.
-    pub fn connections(&self) -> usize {
-        (self.sockets.saturating_sub(OWN_SOCKETS) / 2).max(1)
+    /// How many connections either side may hold in a process that is one of so many which share these
+    /// limits. Clients may use a third of all descriptors for their requests, and each of these a
+    /// connection to a backend server; what memory they take is bounded by itself.
+    pub fn connections(&self, parts: u32) -> usize {
+        let parts = parts.max(1) as usize;
+        (self.sockets.saturating_sub(OWN_SOCKETS * parts) / (2 * parts)).max(4)
     }
     /// How much all messages may hold, in bytes. What is held of each is written through a second
     /// buffer, and the other half is for the rest of the program.
@@ -242,8 +243,9 @@
     fn all_requests_of_usual_clients_have_a_connection_and_a_dispatch() {
         for (memory_mb, sockets) in [(32, 256), (32, 1024), (48, 384), (192, 1024)] {
             let limits = Limits { memory_mb, sockets };
-            assert!(limits.connections() * 3 > sockets);
-            assert!(limits.connections() * 2 + OWN_SOCKETS <= sockets);
+            assert!(limits.connections(1) * 3 > sockets);
+            assert!(limits.connections(1) * 2 + OWN_SOCKETS <= sockets);
+            assert!(2 * (limits.connections(2) * 2 + OWN_SOCKETS) <= sockets);
             const { assert!(crate::net::door::CALLERS < OWN_SOCKETS / 2) };
             assert!(limits.messages() * 3 < memory_mb << 20);
         }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tracing::{debug, warn};
 
 /// An answer leaves this much before the client gives up: it still has to arrive.
@@ -156,6 +156,8 @@
     inner: RefCell<Inner<P>>,
     deadlines: Rc<Deadlines>,
     rearmed: Notify,
+    /// Lists of servers taken in, and changes of them.
+    lists: watch::Sender<u64>,
 }
 
 impl<P> Exchange<P> {
@@ -179,7 +181,15 @@
             orders,
             wake: None,
         };
-        (Rc::new(Exchange { inner: RefCell::new(inner), deadlines, rearmed: Notify::new() }), given)
+        (
+            Rc::new(Exchange {
+                inner: RefCell::new(inner),
+                deadlines,
+                rearmed: Notify::new(),
+                lists: watch::channel(0).0,
+            }),
+            given,
+        )
     }
 
     /// The class of that name.
@@ -226,6 +236,16 @@
         self.tell(Event::Retune(Box::new(renewed)));
     }
 
+    /// Told of each list of servers, and each change, with their number.
+    pub fn lists(&self) -> watch::Receiver<u64> {
+        self.lists.subscribe()
+    }
+
+    /// How many processes are this one node.
+    pub fn parts(&self) -> u32 {
+        self.inner.borrow().parts
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.inner.borrow().open.len()
@@ -293,6 +313,7 @@
     pub fn servers(&self, list: Vec<Server>, whole: bool) {
         let members = self.inner.borrow_mut().members(list, whole);
         self.tell(if whole { Event::Roster(members) } else { Event::RosterChange(members) });
+        self.lists.send_modify(|n| *n += 1);
     }
 
     /// Hand the module its wake-ups, for as long as the node runs.
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio_util::codec::Framed;
 use tracing::warn;
 
@@ -41,6 +41,8 @@
 const DRAIN_IDLE: Duration = Duration::from_millis(800);
 /// While clients are sent away, a connection that has nothing to say has at least this long to begin.
 const DRAIN_FIRST: Duration = Duration::from_millis(400);
+/// Words about ids that may wait for another process to hear them; an id a connection fits.
+const MOST_WORDS: usize = 4096;
 /// The pause after a connection could not be accepted.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -65,12 +67,18 @@
     stage: Stage,
     /// Since when an operator has it emptied.
     drained: Option<Instant>,
+    /// Whether the listener is attended.
+    accepts: bool,
+    /// Whether another process takes the clients at this address.
+    replaced: bool,
 }
 
 impl State {
     /// Why no clients should be sent here, if they should not.
     fn shuns(&self) -> Option<&'static str> {
         match self {
+            // The front must not hear that the address is gone: the next process serves there.
+            State { replaced: true, .. } => None,
             State { stage, .. } if *stage > Stage::Serving => Some("stopping"),
             State { drained: Some(_), .. } => Some("draining"),
             _ => None,
@@ -84,7 +92,7 @@
     exchange: Rc<Exchange<Job>>,
     deadlines: Rc<Deadlines>,
     pool: Rc<Pool>,
-    most: usize,
+    most: Cell<usize>,
     connections: Cell<usize>,
     /// Told whenever a connection has ended or become idle.
     changed: Notify,
@@ -92,15 +100,54 @@
     /// has been idle for longest.
     idle: RefCell<BTreeMap<Place, oneshot::Sender<()>>>,
     idled: Cell<u64>,
-    ids: Ids,
+    ids: Rc<RefCell<Ids>>,
     /// When the last answer is due, once the node is stopping.
     last: Cell<Option<Instant>>,
     state: watch::Sender<State>,
-    /// Whether the listener is attended.
-    accepts: Cell<bool>,
 }
 
-type Ids = Rc<RefCell<HashSet<String>>>;
+/// The ids of open jobs.
+#[derive(Debug, Default)]
+pub struct Ids {
+    own: HashSet<String>,
+    /// Those of another process that is this node, too.
+    others: HashSet<String>,
+    /// What that process is to be told.
+    words: Option<mpsc::Sender<String>>,
+}
+
+impl Ids {
+    /// Tell another process of them: words that each begin or end one.
+    pub fn share(ids: &RefCell<Ids>) -> mpsc::Receiver<String> {
+        let (words, told) = mpsc::channel(MOST_WORDS);
+        let mut ids = ids.borrow_mut();
+        ids.words = Some(words);
+        ids.own.iter().for_each(|id| ids.tell("take", id));
+        told
+    }
+
+    /// The other process has ended.
+    pub fn part(ids: &RefCell<Ids>) {
+        let mut ids = ids.borrow_mut();
+        ids.words = None;
+        ids.others.clear();
+    }
+
+    /// The other process has begun or ended a job with that id.
+    pub fn heard(&mut self, id: &str, open: bool) {
+        match open {
+            true => self.others.insert(id.to_string()),
+            false => self.others.remove(id),
+        };
+    }
+
+    fn tell(&self, word: &str, id: &str) {
+        let Some(words) = &self.words else { return };
+        if words.try_send(format!("{word} {id}")).is_err() {
+            warn!("the other process hears nothing: it may take an id that is in use");
+        }
+    }
+}
 
 /// The id of a job, which no other job has for as long as this one is open or a dispatch of it is out.
 /// Guards against a client that sends another's id: the two would be one request to a backend server,
@@ -108,12 +155,17 @@
 #[derive(Debug)]
 pub struct Claim {
     id: String,
-    all: Ids,
+    all: Rc<RefCell<Ids>>,
 }
 
 impl Claim {
-    fn on(id: String, all: &Ids) -> Option<Claim> {
-        all.borrow_mut().insert(id.clone()).then(|| Claim { id, all: all.clone() })
+    fn on(id: String, all: &Rc<RefCell<Ids>>) -> Option<Claim> {
+        let mut ids = all.borrow_mut();
+        let free = !ids.others.contains(&id) && ids.own.insert(id.clone());
+        free.then(|| {
+            ids.tell("take", &id);
+            Claim { id, all: all.clone() }
+        })
     }
 }
 
@@ -132,7 +184,9 @@
 
 impl Drop for Claim {
     fn drop(&mut self) {
-        self.all.borrow_mut().remove(&self.id);
+        let mut ids = self.all.borrow_mut();
+        ids.own.remove(&self.id);
+        ids.tell("free", &self.id);
     }
 }
 
@@ -155,27 +209,29 @@
         pool: Rc<Pool>,
         most: usize,
     ) -> Rc<Self> {
+        let state = State { stage: Stage::Serving, drained: None, accepts: false, replaced: false };
         Rc::new(Frontend {
             exchange,
             deadlines,
             pool,
-            most,
+            most: Cell::new(most),
             connections: Cell::new(0),
             changed: Notify::new(),
             idle: RefCell::default(),
             idled: Cell::new(0),
-            ids: Ids::default(),
+            ids: Rc::default(),
             last: Cell::new(None),
-            state: watch::channel(State { stage: Stage::Serving, drained: None }).0,
-            accepts: Cell::new(false),
+            state: watch::channel(state).0,
         })
     }
 
     /// Whether clients are taken, or why not.
     pub fn ready(&self) -> Result<(), &'static str> {
-        match self.state.borrow().shuns() {
+        let state = *self.state.borrow();
+        match state.shuns() {
             Some(why) => Err(why),
-            None if !self.accepts.get() => Err("starting"),
+            None if state.replaced => Err("replaced"),
+            None if !state.accepts => Err("starting"),
             None if !self.exchange.has_servers() => Err("no server table"),
             None => Ok(()),
         }
@@ -184,8 +240,10 @@
     /// Send clients away, or take them again; the listener stays open all the while. Asked again it
     /// changes nothing. Fails once the node is stopping, which can't be taken back.
     pub fn drain(&self, drain: bool) -> Result<(), &'static str> {
-        if self.state.borrow().stage > Stage::Serving {
-            return Err("stopping");
+        match *self.state.borrow() {
+            State { replaced: true, .. } => return Err("replaced"),
+            State { stage, .. } if stage > Stage::Serving => return Err("stopping"),
+            _ => {}
         }
         self.state.send_if_modified(|s| {
             let changes = s.drained.is_some() != drain;
@@ -197,6 +255,37 @@
         Ok(())
     }
 
+    /// Another process takes the clients at this address, or none does any more. What this one has is
+    /// served to its end, and answers send its clients over.
+    pub fn hand_over(&self, replaced: bool) {
+        self.state.send_modify(|s| s.replaced = replaced);
+    }
+
+    /// Ready as soon as clients are taken.
+    pub async fn serving(&self) {
+        let (mut state, mut lists) = (self.state.subscribe(), self.exchange.lists());
+        while self.ready().is_err() {
+            // Neither ends before the frontend.
+            tokio::select! {
+                _ = state.changed() => {}
+                _ = lists.changed() => {}
+            }
+        }
+    }
+
+    /// The ids of open jobs.
+    pub fn ids(&self) -> &RefCell<Ids> {
+        &self.ids
+    }
+
+    /// Hold so many connections at most from now on.
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
+        for _ in most..self.connections.get() {
+            self.evict();
+        }
+    }
+
     fn enter(&self, stage: Stage) {
         self.state.send_modify(|s| s.stage = stage);
     }
@@ -225,13 +314,14 @@
     }
 
     /// Accept connections until told to close.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut state = self.state.subscribe();
-        self.accepts.set(true);
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let (mut state, mut replaced) = (self.state.subscribe(), self.state.subscribe());
+        self.state.send_modify(|s| s.accepts = true);
         loop {
             // One more than allowed shows that another has to go. Only one that has ended makes room:
             // one that was told to go may have begun a request.
-            let full = self.connections.get() > self.most;
+            let full = self.connections.get() > self.most.get();
+            let waits = self.state.borrow().replaced;
             if full {
                 // Those just accepted come to stand idle first, and give way before usual clients do.
                 tokio::task::yield_now().await;
@@ -240,8 +330,9 @@
             let accepted = tokio::select! {
                 biased;
                 // All that waits is taken before the listener closes: its requests may have come.
-                accepted = listener.accept(), if !full => accepted,
+                accepted = listener.accept(), if !full && !waits => accepted,
                 () = self.changed.notified(), if full => continue,
+                _ = replaced.wait_for(|s| s.replaced != waits) => continue,
                 _ = state.wait_for(|s| s.stage >= Stage::Refusing) => return,
             };
             match accepted {
@@ -388,8 +479,8 @@
             let state = *self.state.borrow();
             let closing = state.stage == Stage::Closing && !pending;
             // A client that is sent away hears it with its answer, and connects elsewhere next.
-            let drained = state.drained.is_some() && !pending;
-            let last = !keep_alive || closing || drained || answer.is_last();
+            let sent_away = (state.drained.is_some() || state.replaced) && !pending;
+            let last = !keep_alive || closing || sent_away || answer.is_last();
             if let Err(ending) = self.write(connection, last_if(answer, last)).await {
                 return ending;
             }
--- /dev/null
+++ b/src/net/handover.rs
@@ -0,0 +1,223 @@
+//! Replacing the process: the serving process hands its listening socket to the next one over a Unix
+//! socket, and for as long as both live they are one node, which shares what it may hold.
+
+use super::deadlines::Deadlines;
+use super::frontend::{Frontend, Ids};
+use bytes::BytesMut;
+use futures_util::{SinkExt, StreamExt};
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio_util::codec::{Framed, LinesCodec};
+use tracing::{info, warn};
+
+/// How long the serving process may take to hand its listening socket over, before the next one takes
+/// it for dead and binds the address itself.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The pause after a process could not be accepted.
+const PAUSE: Duration = Duration::from_millis(100);
+/// A word between the two holds this much at most: an id, which a head has to hold.
+const LONGEST_WORD: usize = 9 * 1024;
+
+/// What a process is handed by the one that it follows: the socket at which clients connect, and the
+/// link to that process.
+pub type Inheritance = (std::net::TcpListener, std::os::unix::net::UnixStream);
+
+/// Where the process that serves clients at that address is to be found by the next one; `None` if
+/// every process has an address of its own.
+fn meeting_place(listen: SocketAddr) -> Option<PathBuf> {
+    (listen.port() != 0).then(|| std::env::temp_dir().join(format!("shorepath-{listen}.sock")))
+}
+
+/// Be handed the listening socket, if there is a process that serves at that address.
+pub fn inherit(listen: SocketAddr) -> Option<Inheritance> {
+    let link = std::os::unix::net::UnixStream::connect(meeting_place(listen)?).ok()?;
+    match receive(&link, listen) {
+        Ok(listener) => Some((listener, link)),
+        Err(e) => {
+            warn!("the serving process hands nothing over: {e}");
+            None
+        }
+    }
+}
+
+fn receive(link: &std::os::unix::net::UnixStream, listen: SocketAddr) -> io::Result<std::net::TcpListener> {
+    link.set_read_timeout(Some(PATIENCE))?;
+    let (mut space, mut byte) = ([MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))], [0]);
+    let mut handed = RecvAncillaryBuffer::new(&mut space);
+    recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut handed, RecvFlags::CMSG_CLOEXEC)?;
+    let descriptors = handed.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
+        _ => None,
+    });
+    let descriptor: Option<OwnedFd> = descriptors.flatten().next();
+    let listener = std::net::TcpListener::from(descriptor.ok_or(io::ErrorKind::UnexpectedEof)?);
+    // Guards against serving at another address than the one asked for.
+    if listener.local_addr()? != listen {
+        return Err(io::Error::other("it listens elsewhere"));
+    }
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Be found by the next process, whoever was before: a name left by a process that has ended is taken.
+fn publish(place: &Path) -> io::Result<UnixListener> {
+    // Nobody may find it before it is closed to others.
+    let draft = place.with_extension(std::process::id().to_string());
+    let _ = std::fs::remove_file(&draft);
+    let listener = UnixListener::bind(&draft)?;
+    std::fs::set_permissions(&draft, std::fs::Permissions::from_mode(0o600))?;
+    std::fs::rename(&draft, place)?;
+    Ok(listener)
+}
+
+async fn hand(link: &UnixStream, listener: Option<Rc<TcpListener>>) -> io::Result<()> {
+    let listener = listener.ok_or_else(|| io::Error::other("it no longer accepts"))?;
+    let descriptors = [listener.as_fd()];
+    loop {
+        link.writable().await?;
+        let sent = link.try_io(tokio::io::Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut handing = SendAncillaryBuffer::new(&mut space);
+            handing.push(SendAncillaryMessage::ScmRights(&descriptors));
+            Ok(sendmsg(link, &[IoSlice::new(b"L")], &mut handing, SendFlags::empty())?)
+        });
+        match sent {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            other => return other.map(drop),
+        }
+    }
+}
+
+/// This process among those that serve at one address in turn.
+#[derive(Debug)]
+pub struct Handover<S> {
+    frontend: Rc<Frontend>,
+    deadlines: Rc<Deadlines>,
+    place: Option<PathBuf>,
+    /// Open for as long as the frontend accepts: another holder would keep clients waiting at a node
+    /// that has stopped.
+    listener: Weak<TcpListener>,
+    /// Told how many processes are this node, whenever that changes.
+    share: S,
+}
+
+impl<S: Fn(u32)> Handover<S> {
+    /// For a process that serves clients at that address, by that socket.
+    pub fn new(
+        frontend: Rc<Frontend>,
+        deadlines: Rc<Deadlines>,
+        listen: SocketAddr,
+        listener: Weak<TcpListener>,
+        share: S,
+    ) -> Self {
+        Handover { frontend, deadlines, place: meeting_place(listen), listener, share }
+    }
+
+    /// Follow the process that has handed its socket over, if one has, and then hand it to the next,
+    /// for as long as this one runs.
+    pub async fn follow(self, before: Option<std::os::unix::net::UnixStream>) {
+        if let Some(link) = before {
+            self.succeed(link).await;
+        }
+        loop {
+            let found = self.place.as_deref().map(publish);
+            match found {
+                Some(Ok(listener)) => self.precede(listener).await,
+                Some(Err(e)) => {
+                    warn!("no other process can take over from this one: {e}");
+                    return std::future::pending().await;
+                }
+                None => return std::future::pending().await,
+            }
+        }
+    }
+
+    /// Follow the process before this one until it has ended.
+    async fn succeed(&self, link: std::os::unix::net::UnixStream) {
+        (self.share)(2);
+        info!("taking over from the process that serves at this address");
+        let link = link.set_nonblocking(true).and_then(|()| UnixStream::from_std(link));
+        match link {
+            Ok(link) => self.live_beside(link, true).await,
+            Err(e) => warn!("the process before this one can't be heard: {e}"),
+        }
+        info!("this process is the whole node");
+        (self.share)(1);
+    }
+
+    /// Hand the socket to whoever comes, and serve by its side until it has ended.
+    async fn precede(&self, listener: UnixListener) {
+        let link = match listener.accept().await {
+            Ok((link, _)) => link,
+            Err(e) => {
+                warn!("the next process could not be accepted: {e}");
+                return self.deadlines.after(PAUSE).await;
+            }
+        };
+        (self.share)(2);
+        info!("another process is going to take over");
+        match hand(&link, self.listener.upgrade()).await {
+            Ok(()) => self.live_beside(link, false).await,
+            Err(e) => warn!("the next process was handed nothing: {e}"),
+        }
+        // Guards against a node without a process that accepts: the next one has ended first.
+        info!("the next process has ended: this one takes clients");
+        self.frontend.hand_over(false);
+        (self.share)(1);
+    }
+
+    /// Tell the other process which ids are in use, and hear the same, until its end.
+    async fn live_beside(&self, link: UnixStream, follows: bool) {
+        let mut link = Framed::new(link, LinesCodec::new_with_max_length(LONGEST_WORD));
+        // Those that it comes with are larger than what passes.
+        (*link.read_buffer_mut(), *link.write_buffer_mut()) = (BytesMut::new(), BytesMut::new());
+        let ids = self.frontend.ids();
+        let mut words = Ids::share(ids);
+        let mut says = follows;
+        loop {
+            let sent = tokio::select! {
+                word = link.next() => match word {
+                    Some(Ok(word)) => {
+                        self.hear(ids, &word);
+                        Ok(())
+                    }
+                    Some(Err(e)) => Err(e),
+                    None => break,
+                },
+                Some(word) = words.recv() => link.send(word).await,
+                () = self.frontend.serving(), if says => {
+                    says = false;
+                    link.send("serving".to_string()).await
+                }
+            };
+            if let Err(e) = sent {
+                warn!("the other process can't be heard: {e}");
+                break;
+            }
+        }
+        Ids::part(ids);
+    }
+
+    fn hear(&self, ids: &std::cell::RefCell<Ids>, word: &str) {
+        match word.split_once(' ') {
+            Some(("take", id)) => ids.borrow_mut().heard(id, true),
+            Some(("free", id)) => ids.borrow_mut().heard(id, false),
+            None if word == "serving" => {
+                info!("the next process takes clients: this one serves what it has");
+                self.frontend.hand_over(true);
+            }
+            _ => warn!("the other process makes no sense"),
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod ending;
 pub mod exchange;
 pub mod frontend;
+pub mod handover;
 pub mod pool;
 pub mod server_table;
 
@@ -18,6 +19,7 @@
 use door::Door;
 use exchange::Exchange;
 use frontend::{Claim, Frontend};
+use handover::Handover;
 use pool::{Buffer, Pool};
 use server_table::ServerTable;
 use std::net::SocketAddr;
@@ -75,6 +77,9 @@
 /// from then on the node may be killed.
 const LAST_ANSWER: Duration = Duration::from_millis(3_500);
 
+/// A process that takes over waits this long at most for discovery's list before it takes clients.
+const FIRST_LIST: Duration = Duration::from_millis(1_500);
+
 /// Serve until told to stop; `again` reads the configuration once more.
 pub fn serve(
     config: Config,
@@ -109,7 +114,7 @@
         if renewed.retuned {
             info!("new settings hold");
             exchange.retune(config.setup.clone());
-            backend.bound(Bounds::of(&config));
+            backend.bound(Bounds::of(&config, exchange.parts()));
         }
         if let Some(address) = renewed.moved {
             discovery.send_replace(address);
@@ -130,7 +135,11 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = listen(config.listen).await?;
+    let (listener, before) = match handover::inherit(config.listen) {
+        Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
+        None => (listen(config.listen).await?, None),
+    };
+    let listener = Rc::new(listener);
     let address = listener.local_addr()?;
     let calls = match config.mgmt {
         Some(address) => Some(listen(address).await?),
@@ -142,10 +151,20 @@
     let deadlines = Rc::new(Deadlines::default());
     let pool = Rc::new(Pool::new(config.limits.messages()));
     let (exchange, orders) = Exchange::new(&config.setup, config.seed, deadlines.clone());
-    let backend = Backend::new(exchange.clone(), deadlines.clone(), pool.clone(), Bounds::of(&config));
+    let backend = Backend::new(exchange.clone(), deadlines.clone(), pool.clone(), Bounds::of(&config, 1));
     let (discovery, told) = watch::channel(config.discovery);
     let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told);
-    let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool, config.limits.connections());
+    let limits = config.limits;
+    let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool.clone(), limits.connections(1));
+    let handover = Handover::new(frontend.clone(), deadlines.clone(), address, Rc::downgrade(&listener), {
+        let (exchange, backend, frontend) = (exchange.clone(), backend.clone(), frontend.clone());
+        move |parts| {
+            exchange.share(parts);
+            pool.share(parts);
+            frontend.bound(limits.connections(parts));
+            backend.bound(Bounds { connections: limits.connections(parts), ..backend.bounds() });
+        }
+    });
 
     let sweep = spawn_local({
         let deadlines = deadlines.clone();
@@ -157,7 +176,22 @@
     });
     let orders = spawn_local(backend.clone().run(orders));
     let table = spawn_local(table.follow(std::mem::take(&mut config.known)));
-    let mut accepting = spawn_local(frontend.clone().accept(listener));
+    let mut accepting = spawn_local({
+        let (frontend, exchange, deadlines) = (frontend.clone(), exchange.clone(), deadlines.clone());
+        let follows = before.is_some();
+        async move {
+            // Until then the process before it serves.
+            if follows {
+                let mut lists = exchange.lists();
+                tokio::select! {
+                    _ = lists.wait_for(|n| *n > 1) => {}
+                    () = deadlines.after(FIRST_LIST) => {}
+                }
+            }
+            frontend.accept(listener).await
+        }
+    });
+    let handover = spawn_local(handover.follow(before));
     let door = spawn_local({
         let door = Door::new(frontend.clone(), deadlines.clone());
         async move {
@@ -179,6 +213,7 @@
             _ = table => "server table",
             _ = reload => "configuration",
             _ = door => "door",
+            _ = handover => "handover",
         }
     };
     let mut parts = std::pin::pin!(parts);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -25,13 +25,19 @@
 pub struct Pool {
     kept: RefCell<Vec<BytesMut>>,
     held: Cell<usize>,
-    most: usize,
+    all: usize,
+    most: Cell<usize>,
 }
 
 impl Pool {
     /// A pool whose buffers hold so many bytes at most, all together.
     pub fn new(most: usize) -> Self {
-        Pool { kept: RefCell::default(), held: Cell::new(0), most }
+        Pool { kept: RefCell::default(), held: Cell::new(0), all: most, most: Cell::new(most) }
+    }
+
+    /// Hold one part of so many of what it may.
+    pub fn share(&self, parts: u32) {
+        self.most.set(self.all / parts.max(1) as usize);
     }
 
     /// The next item that comes over a connection, which holds no buffer until something comes.
@@ -131,7 +137,7 @@
     /// once: connections are bounded by descriptors alone, or usual clients would lack them.
     pub fn append(&mut self, bytes: &[u8]) -> Result<(), NoMemory> {
         let held = self.pool.held.get() + bytes.len();
-        if held > self.pool.most {
+        if held > self.pool.most.get() {
             return Err(NoMemory);
         }
         self.pool.held.set(held);
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -3,6 +3,7 @@
 use crate::support::*;
 use rstest::rstest;
 use serde_json::{json, Value};
+use std::os::unix::fs::PermissionsExt;
 use std::time::{Duration, Instant};
 
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -200,3 +201,98 @@
     assert_eq!(client.message().body, "1");
     assert!(second.is_left_alone());
 }
+
+/// Wait until the next process can find this one, by a name to which others have no access.
+fn published(old: &Node) {
+    let place = meeting_place().join(format!("shorepath-{}.sock", old.address));
+    while !place.exists() {
+        std::thread::yield_now();
+    }
+    assert_eq!(std::fs::metadata(&place).unwrap().permissions().mode() & 0o777, 0o600);
+}
+
+/// A process with a door, and its backend server, and another one started in its place.
+fn replaced() -> (Node, Node, Party, Value) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let old = Node::start(&config);
+    config["listen"] = json!(old.address.to_string());
+    published(&old);
+    let new = Node::start(&config);
+    (old, new, server, config)
+}
+
+/// The old process serves what it has and sends its clients over; the new one takes all that connect,
+/// and knows which ids are open. Nobody hears that the address is gone.
+#[rstest]
+fn a_process_is_replaced_without_a_client_noticing() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let mut old = Node::start(&config);
+    let [mut front, mut kept] = [0, 1].map(|_| old.client());
+    for client in [&mut front, &mut kept] {
+        client.send(HEALTH);
+        assert_eq!(client.message().status(), 200);
+    }
+    let mut held = old.ask("held", "/zone-plan");
+    let mut on_old = server.accept();
+    on_old.message();
+    config["listen"] = json!(old.address.to_string());
+    published(&old);
+    let new = Node::start(&config);
+    old.logs("the next process takes clients");
+    assert_eq!((call(&new, READY), call(&old, READY), call(&old, DRAIN)), (200, 503, 409));
+    assert_eq!(new.ask("held", "/zone-plan").message().status(), 409, "the id is open");
+    let mut on_new = None;
+    for k in 0..20 {
+        let id = format!("new-{k}");
+        let mut client = new.ask(&id, "/zone-plan");
+        let backend = on_new.get_or_insert_with(|| server.accept());
+        assert_eq!(backend.id(), id);
+        backend.serve(&id, "1");
+        assert_eq!(client.message().field("Connection"), None, "the old one accepts no more");
+    }
+    old.terminate();
+    old.logs("told to stop");
+    front.send(HEALTH);
+    let answer = front.message();
+    assert_eq!((answer.status(), answer.field("Connection")), (200, Some("close")));
+    kept.send(&job("kept", "/zone-plan", "5000m", ""));
+    on_old.serve("held", "2");
+    assert_eq!(held.message().field("Connection"), Some("close"));
+    assert_eq!(on_old.id(), "kept");
+    on_old.serve("kept", "3");
+    assert_eq!(kept.message().body, "3");
+    assert!(old.exit().success());
+    new.logs("this process is the whole node");
+    let mut again = new.ask("held", "/zone-plan");
+    let mut backend = on_new.unwrap();
+    assert_eq!(backend.id(), "held");
+    backend.serve("held", "4");
+    assert_eq!(again.message().body, "4");
+}
+
+/// Whoever dies, the other goes on: the old process takes clients again, and can be replaced once more;
+/// the new one is whole, and so is one that finds nothing but the name of a process that was killed.
+#[rstest]
+fn a_process_that_dies_leaves_the_node_to_the_other() {
+    let (old, new, server, config) = replaced();
+    old.logs("the next process takes clients");
+    drop(new);
+    old.logs("this one takes clients");
+    assert_eq!(call(&old, READY), 200);
+    let mut client = old.ask("a", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("a", "1");
+    assert_eq!(client.message().field("Connection"), None);
+    let new = Node::start(&config);
+    old.logs("the next process takes clients");
+    drop(old);
+    new.logs("this process is the whole node");
+    assert_eq!(call(&new, READY), 200);
+    drop(new);
+    assert_eq!(call(&Node::start(&config), READY), 200);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -53,9 +53,16 @@
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(words[0]);
     command.args(&words[1..]).env("ROUTER_CONFIG", path).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.env("TMPDIR", meeting_place());
     command
 }
 
+/// Where processes find each other, by a path that may not be long.
+pub fn meeting_place() -> PathBuf {
+    let usual = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    Some(usual).filter(|path| path.as_os_str().len() < 60).unwrap_or_else(std::env::temp_dir)
+}
+
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_shorepath");
 
 /// The program, serving; killed when dropped.
