Evict what stands still, and let slow requests come whole

Checked with a probe of when bytes come: pieces 45 to 130 ms apart over up to 1.7 s, while the crowd's half requests stand still. Ruled out: the 2.3 s for a whole request (none lasts that long). At fault: Frontend::evict and PRESSED in src/net/frontend.rs: the oldest connection was told to go, and a slow request is the oldest; it had one second more. Own descriptors 48 to 32, so that 128 leave each side 48, over the third that clients may hold.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -9,9 +9,10 @@
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-/// Descriptors that are neither a client's nor a backend server's: the listener, discovery, the
-/// runtime's own, the standard streams and some to spare.
-const OWN_SOCKETS: usize = 48;
+/// Descriptors that are neither a client's nor a backend server's: the standard streams (3), the
+/// runtime's and the signals' (4), both listeners, discovery old and new, callers at the door (8), the
+/// handover's (2), one connection too many on either side (2); and some to spare.
+const OWN_SOCKETS: usize = 32;
 
 /// All that the node is told.
 #[derive(Debug)]
@@ -241,7 +242,7 @@
     /// Clients may use a third of the descriptors for their requests, whatever the memory.
     #[test]
     fn all_requests_of_usual_clients_have_a_connection_and_a_dispatch() {
-        for (memory_mb, sockets) in [(32, 256), (32, 1024), (48, 384), (192, 1024)] {
+        for (memory_mb, sockets) in [(16, 128), (24, 192), (32, 256), (32, 1024), (48, 384), (192, 1024)] {
             let limits = Limits { memory_mb, sockets };
             assert!(limits.connections(1) * 3 > sockets);
             assert!(limits.connections(1) * 2 + OWN_SOCKETS <= sockets);
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -27,7 +27,12 @@
 /// How long the first request of a connection may take to come, from the connection's beginning, and
 /// each later one from its own. Usual clients connect when they have a request to send.
 const REQUEST: Duration = Duration::from_millis(2_300);
-/// How long a request may still take to come once its connection is wanted closed.
+/// Under pressure, how long a new connection may say nothing: its request may be on the way.
+const SAY: Duration = Duration::from_millis(10);
+/// Under pressure, how long a request that has begun may stand still; slow ones come in pieces about
+/// 0.1 s apart.
+const STILL: Duration = Duration::from_millis(500);
+/// How long a request may still take to come once the node is closing its connections.
 const PRESSED: Duration = Duration::from_millis(1_000);
 /// How long a client may take to read its answer.
 const WRITE: Duration = Duration::from_secs(10);
@@ -96,9 +101,8 @@
     connections: Cell<usize>,
     /// Told whenever a connection has ended or become idle.
     changed: Notify,
-    /// What closes the idle ones: first those that never handed in a job, and of these the one that
-    /// has been idle for longest.
-    idle: RefCell<BTreeMap<Place, oneshot::Sender<()>>>,
+    /// What closes those on which nothing moves, by their rank.
+    idle: RefCell<[Standing; 3]>,
     idled: Cell<u64>,
     ids: Rc<RefCell<Ids>>,
     /// When the last answer is due, once the node is stopping.
@@ -190,10 +194,37 @@
     }
 }
 
-/// Where an idle connection stands among those that may have to go: has it handed in a job, and how
-/// many had become idle before. Guards the connections of usual clients against hundreds that were
-/// opened to say nothing.
-type Place = (bool, u64);
+/// How soon a connection has to go when another needs its place, the first one first. Guards the
+/// connections of usual clients against hundreds that were opened to say nothing, or half a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rank {
+    /// It never handed in a job, and nothing has begun.
+    Silent,
+    /// A request has begun; since then, or since more of it came, it stands still.
+    Begun,
+    /// It has handed in a job before.
+    Served,
+}
+
+impl Rank {
+    const ALL: [Rank; 3] = [Rank::Silent, Rank::Begun, Rank::Served];
+
+    /// How long one of that rank may stand still before it can be made to go.
+    fn grace(self) -> Duration {
+        match self {
+            Rank::Silent => SAY,
+            Rank::Begun => STILL,
+            Rank::Served => Duration::ZERO,
+        }
+    }
+}
+
+/// Where a connection stands among those that may have to go: since when in its rank, and how many
+/// had come to stand there before.
+type Place = (Rank, (Instant, u64));
+
+/// What closes the connections of one rank, the one that has stood still for longest first.
+type Standing = BTreeMap<(Instant, u64), oneshot::Sender<()>>;
 
 /// What a request is answered with, or what brings its answer.
 enum Reply {
@@ -282,7 +313,7 @@
     pub fn bound(&self, most: usize) {
         self.most.set(most);
         for _ in most..self.connections.get() {
-            self.evict();
+            let _ = self.evict();
         }
     }
 
@@ -322,16 +353,24 @@
             // one that was told to go may have begun a request.
             let full = self.connections.get() > self.most.get();
             let waits = self.state.borrow().replaced;
+            let mut again = None;
             if full {
                 // Those just accepted come to stand idle first, and give way before usual clients do.
                 tokio::task::yield_now().await;
-                self.evict();
+                again = self.evict().err().flatten();
             }
+            let again = async {
+                match again {
+                    Some(at) => self.deadlines.at(at).await,
+                    None => std::future::pending().await,
+                }
+            };
             let accepted = tokio::select! {
                 biased;
                 // All that waits is taken before the listener closes: its requests may have come.
                 accepted = listener.accept(), if !full && !waits => accepted,
                 () = self.changed.notified(), if full => continue,
+                () = again => continue,
                 _ = replaced.wait_for(|s| s.replaced != waits) => continue,
                 _ = state.wait_for(|s| s.stage >= Stage::Refusing) => return,
             };
@@ -340,17 +379,32 @@
                 // Guards against running out of descriptors: it passes, and must not spin or end us.
                 Err(e) => {
                     warn!("accepting: {e}");
-                    self.evict();
+                    let _ = self.evict();
                     self.deadlines.after(PAUSE).await;
                 }
             }
         }
     }
 
-    /// Close the connection that has been idle for longest, if there is one.
-    fn evict(&self) -> bool {
-        let oldest = self.idle.borrow_mut().pop_first();
-        oldest.is_some_and(|(_, close)| close.send(()).is_ok())
+    /// Close the connection that can best be done without, or tell when the first may be.
+    fn evict(&self) -> Result<(), Option<Instant>> {
+        let (now, mut soonest) = (Instant::now(), None::<Instant>);
+        for (rank, standing) in Rank::ALL.into_iter().zip(self.idle.borrow_mut().iter_mut()) {
+            let Some(due) = standing.first_key_value().map(|(key, _)| key.0 + rank.grace()) else { continue };
+            // What has served is spared for the moment in which one that says nothing may be let go.
+            let spared = rank == Rank::Served && soonest.is_some_and(|at| at <= now + SAY);
+            if spared {
+                break;
+            }
+            if due > now {
+                soonest = Some(soonest.map_or(due, |s| s.min(due)));
+            } else if let Some((_, close)) = standing.pop_first() {
+                // One that is just ending by itself needs no telling.
+                let _ = close.send(());
+                return Ok(());
+            }
+        }
+        Err(soonest)
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
@@ -377,7 +431,7 @@
     /// End the sending and read on for a moment: a socket closed over unread bytes is reset, which
     /// can cost the client the answer that it was just sent.
     async fn linger(&self, connection: &mut Connection) {
-        let (place, mut closed) = self.stand_idle(false);
+        let (place, mut closed) = self.stand_idle(Rank::Silent);
         let rest = async {
             if connection.get_mut().shutdown().await.is_err() {
                 return;
@@ -397,19 +451,29 @@
             _ = &mut closed => {}
             () = self.deadlines.after(LINGER) => {}
         }
-        self.idle.borrow_mut().remove(&place);
+        self.stir(place);
     }
 
     /// Take a place among the connections that may have to go.
-    fn stand_idle(&self, has_served: bool) -> (Place, oneshot::Receiver<()>) {
-        let place = (has_served, self.idled.get());
-        self.idled.set(place.1 + 1);
+    fn stand_idle(&self, rank: Rank) -> (Place, oneshot::Receiver<()>) {
         let (close, closed) = oneshot::channel();
-        self.idle.borrow_mut().insert(place, close);
+        (self.stand(rank, close), closed)
+    }
+
+    fn stand(&self, rank: Rank, close: oneshot::Sender<()>) -> Place {
+        let number = self.idled.get();
+        self.idled.set(number + 1);
+        let key = (Instant::now(), number);
+        self.idle.borrow_mut()[rank as usize].insert(key, close);
         // Guards against a full node that waits for an end although one can be evicted: a burst is
         // accepted before any of its connections has come to stand idle.
         self.changed.notify_one();
-        (place, closed)
+        (rank, key)
+    }
+
+    /// Give the place up, unless it had to be given up before.
+    fn stir(&self, place: Place) -> Option<oneshot::Sender<()>> {
+        self.idle.borrow_mut()[place.0 as usize].remove(&place.1)
     }
 
     /// Answer requests, one at a time, until the connection ends.
@@ -497,7 +561,8 @@
         opened: Option<Instant>,
         has_served: bool,
     ) -> Result<Option<Result<Incoming, ReadError>>, Ending> {
-        let (place, mut closed) = self.stand_idle(has_served);
+        let rank = if has_served { Rank::Served } else { Rank::Silent };
+        let (mut place, mut closed) = self.stand_idle(rank);
         let mut unwanted = std::pin::pin!(self.unwanted());
         // Guards against connections that say nothing, or send a request without end.
         let due = opened.map_or_else(|| self.deadlines.after(IDLE), |o| self.deadlines.at(o + REQUEST));
@@ -509,7 +574,7 @@
             let over = tokio::select! {
                 biased;
                 item = self.pool.next(connection) => break Ok(item),
-                () = begun.notified(), if !has_begun => None,
+                () = begun.notified() => None,
                 _ = &mut closed, if ending.is_none() => Some(Ending::Evicted),
                 over = &mut unwanted, if ending.is_none() => Some(over),
                 () = &mut due => Some(Ending::Idle),
@@ -518,26 +583,30 @@
             let partial = connection.codec().is_partial() || !connection.read_buffer().is_empty();
             match (partial, over) {
                 (true, None) => {
-                    has_begun = true;
-                    due.set(self.deadlines.after(REQUEST));
+                    if !std::mem::replace(&mut has_begun, true) {
+                        due.set(self.deadlines.after(REQUEST));
+                    }
+                    // It moves: guards slow clients against going before those that stand still.
+                    if let Some(close) = self.stir(place) {
+                        place = self.stand(Rank::Begun, close);
+                    }
                 }
                 (false, None) => {}
+                (true, Some(Ending::Evicted)) => break Err(Ending::Evicted),
                 (false, Some(over)) => break Err(over),
                 (true, Some(Ending::Idle)) => break Err(Ending::TooSlow),
                 // It has its time: what has begun is served before the node counts as emptied.
                 (true, Some(Ending::Drained)) => (ending, has_begun) = (Some(Ending::Drained), true),
                 (true, Some(over)) => {
-                    // Guards the end of the node, and the others' places, against requests that are
-                    // never completed; and where one was to make room, the next is asked.
+                    // Guards the end of the node against requests that are never completed.
                     if !due.is_within(PRESSED) {
                         due.set(self.deadlines.after(PRESSED));
                     }
                     (ending, has_begun) = (Some(over), true);
-                    self.changed.notify_one();
                 }
             }
         };
-        self.idle.borrow_mut().remove(&place);
+        self.stir(place);
         item
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -291,6 +291,14 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Whether nothing comes for that time.
+    pub fn hears_nothing(&mut self, time: Duration) -> bool {
+        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
+        let nothing = self.stream.fill_buf().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
+        nothing
+    }
+
     /// Send this over and over until something comes back.
     pub fn trickle_until_answered(&mut self, text: &str) {
         let pause = Some(Duration::from_millis(100));
