--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -1,7 +1,6 @@
 //! Why connections end: each one that does leaves one log line with the code of its reason.
 
 use std::fmt;
-use std::net::SocketAddr;
 use tracing::info;
 
 /// Why a connection ended.
@@ -71,7 +70,7 @@
     }
 
     /// Leave the one line for a connection that has ended.
-    pub fn log(self, side: Side, peer: SocketAddr, messages: u64) {
+    pub fn log(self, side: Side, peer: impl fmt::Display, messages: u64) {
         info!("end {side} {peer} reason={} messages={messages}", self.code());
     }
 }
@@ -87,6 +86,8 @@
     Backend,
     /// To discovery.
     ServerTable,
+    /// To another process that serves at the same address.
+    Handover,
 }
 
 impl fmt::Display for Side {
@@ -96,6 +97,7 @@
             Side::Door => "door",
             Side::Backend => "backend",
             Side::ServerTable => "server-table",
+            Side::Handover => "handover",
         })
     }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -2,6 +2,7 @@
 //! socket, and for as long as both live they are one node, which shares what it may hold.
 
 use super::deadlines::Deadlines;
+use super::ending::{Ending, Side};
 use super::frontend::{Frontend, Ids};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
@@ -184,16 +185,17 @@
         (*link.read_buffer_mut(), *link.write_buffer_mut()) = (BytesMut::new(), BytesMut::new());
         let ids = self.frontend.ids();
         let mut words = Ids::share(ids);
-        let mut says = follows;
-        loop {
+        let (mut says, mut heard) = (follows, 0);
+        let ending = loop {
             let sent = tokio::select! {
                 word = link.next() => match word {
                     Some(Ok(word)) => {
+                        heard += 1;
                         self.hear(ids, &word);
                         Ok(())
                     }
                     Some(Err(e)) => Err(e),
-                    None => break,
+                    None => break Ending::PeerClosed,
                 },
                 Some(word) = words.recv() => link.send(word).await,
                 () = self.frontend.serving(), if says => {
@@ -203,10 +205,12 @@
             };
             if let Err(e) = sent {
                 warn!("the other process can't be heard: {e}");
-                break;
+                break Ending::PeerBroke;
             }
-        }
+        };
         Ids::part(ids);
+        let place = self.place.as_deref().unwrap_or(Path::new("-"));
+        ending.log(Side::Handover, place.display(), heard);
     }
 
     fn hear(&self, ids: &std::cell::RefCell<Ids>, word: &str) {
