Let requests that stand still make room while the node is emptied, too

Seen in review and by the new test: with the node drained, a half request that had met the end of idling could no longer be evicted, and a full node kept a new client waiting for 1.3 s until its 2.3 s were over. At fault: the guard ending.is_none() on the eviction in Frontend::next. A third process at an address is now tested, too: it exits.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -575,7 +575,7 @@
                 biased;
                 item = self.pool.next(connection) => break Ok(item),
                 () = begun.notified() => None,
-                _ = &mut closed, if ending.is_none() => Some(Ending::Evicted),
+                _ = &mut closed => Some(Ending::Evicted),
                 over = &mut unwanted, if ending.is_none() => Some(over),
                 () = &mut due => Some(Ending::Idle),
             };
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -202,6 +202,29 @@
     assert!(second.is_left_alone());
 }
 
+/// Requests that stand still while the node is emptied make room for others as at any time.
+#[rstest]
+fn a_full_node_that_is_emptied_still_has_room() {
+    let mut config = config(&[]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    config["limits"]["sockets"] = json!(70);
+    let node = Node::start(&config);
+    assert_eq!(call(&node, DRAIN), 200);
+    let begin = |_| {
+        let mut client = node.client();
+        client.send("POST /zone-plan HTTP/1.1\r\n");
+        client
+    };
+    let mut half: Vec<Peer> = (0..19).map(begin).collect();
+    assert!(half[18].hears_nothing(Duration::from_millis(1_000)));
+    let _one_more = begin(19);
+    let began = Instant::now();
+    let mut client = node.client();
+    client.send(HEALTH);
+    assert_eq!(client.message().status(), 503);
+    assert!(began.elapsed() < Duration::from_millis(700), "{:?}", began.elapsed());
+}
+
 /// Wait until the next process can find this one, by a name to which others have no access.
 fn published(old: &Node) {
     let place = meeting_place().join(format!("shorepath-{}.sock", old.address));
@@ -280,6 +303,8 @@
 fn a_process_that_dies_leaves_the_node_to_the_other() {
     let (old, new, server, config) = replaced();
     old.logs("the next process takes clients");
+    let third = command(&[PROGRAM, "serve"], &config.to_string()).output().unwrap();
+    assert!(String::from_utf8(third.stderr).unwrap().contains("can't listen"), "two are enough");
     drop(new);
     old.logs("this one takes clients");
     assert_eq!(call(&old, READY), 200);
