Make the test of SIGTERM independent of how long the test itself takes

Seen: one failure in six runs of the suite, the job that the test leaves unstarted was called off after a quarter of its deadline (1.25 s) while four tests kept all cores busy. Ruled out: a stall of the node (its watch retried every 0.40 s throughout). The job now has started before the test waits.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -482,19 +482,23 @@
     backend.serve("held", "1");
     assert_eq!(held.message().body, "1");
     assert_eq!(backend.id(), "late");
+    // A job that has started is not called off, however long this test takes from here on.
+    backend.begin();
+    backend.state("late", "started");
     // New connections end first; those that clients have go on for a while, with answers in time.
     node.logs("new connections are refused");
     assert!(node.client_refused());
     idle.send(&job("later", "/zone-plan", "60000m", ""));
-    backend.serve("late", "2");
-    let request = backend.message();
+    let mut other = server.accept();
+    let request = other.message();
     assert_eq!(request.field("Request-Id"), Some("later"));
     let timeout = request.field("Request-Timeout").and_then(|t| t.strip_suffix('u')).unwrap();
     assert!(timeout.parse::<u64>().unwrap() < 3_000_000);
-    backend.serve("later", "3");
+    other.serve("later", "3");
     assert_eq!(idle.message().body, "3");
-    assert!(idle.ended(), "an idle connection is closed in order");
+    backend.finish("late", "2");
     assert_eq!(late.message().body, "2");
+    assert!(idle.ended(), "an idle connection is closed in order");
     assert!(node.exit().success());
     node.logs("end backend");
     node.logs("stopped");
