--- a/src/settings.rs
+++ b/src/settings.rs
@@ -300,3 +300,44 @@
         only_draining_binds: setup.rules.soft_removal,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn setup(classes: &[(&str, &str)]) -> Setup {
+        let class = |(name, semantics): &(&str, &str)| Class {
+            name: name.to_string(),
+            semantics: semantics.to_string(),
+            deadline_ms: 5000.0,
+            ..Class::default()
+        };
+        Setup { classes: classes.iter().map(class).collect(), ..Setup::default() }
+    }
+
+    /// A class keeps its number while its rules stay. With other rules it gets a fresh one while jobs
+    /// hold the old; numbers that nothing holds are used again, or they would grow with each reload.
+    #[test]
+    fn numbers_of_classes_go_on_meaning_what_open_jobs_came_under() {
+        let (mut set, mut names) = setup(&[("a", "free"), ("b", "free")]).read();
+        let held = |class: ClassId| class == ClassId(0);
+        let next = setup(&[("b", "free"), ("a", "single_shot"), ("c", "free")]);
+        let renewed = next.renew(&mut names, &set, held);
+        let number = |names: &Catalogue, name: &str| names.classes.get(name);
+        assert_eq!(number(&names, "b"), Some(1));
+        assert_eq!((number(&names, "a"), number(&names, "c")), (Some(2), Some(3)));
+        assert_eq!(renewed.fresh, [(ClassId(2), Some(ClassId(0))), (ClassId(3), None)]);
+        let effects: Vec<_> = renewed.settings.classes.iter().map(|c| c.effect).collect();
+        assert_eq!(effects, [Effect::Safe, Effect::Safe, Effect::Unsafe, Effect::Safe]);
+        set = renewed.settings;
+        for k in 0..100 {
+            let semantics = if k % 2 == 0 { "free" } else { "single_shot" };
+            set = setup(&[("a", semantics), ("d", semantics)]).renew(&mut names, &set, held).settings;
+            assert_eq!((number(&names, "b"), number(&names, "c")), (None, None), "dropped");
+            let of = |name: &str| set.classes[number(&names, name).unwrap() as usize].effect;
+            assert_eq!((of("a"), of("d")), (of("d"), of("a")));
+            assert_eq!((of("a") == Effect::Safe, set.classes[0].effect), (k % 2 == 0, Effect::Safe));
+        }
+        assert_eq!(set.classes.len(), 4);
+    }
+}
