Make the decision module a package of its own, without sockets

Need: the lab, and every later subsystem, drives the module without the node. Change: crates/core holds module, interface and settings; the node stays the root program and re-exports them; the tests of the module move along.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of shorepath: events in, actions out. Nothing here knows of sockets, of a clock or of a
+//! wire; whoever drives it (the node, the simulator's adapter, the lab) brings time and randomness.
+
+pub mod api;
+pub mod balance;
+pub mod settings;
+mod state;
+
+pub use api::{Action, Event, Settings};
+pub use balance::Balancer;
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Scripted events for the tests of the decision module.
 #![allow(dead_code)] // each test file uses a part
 
-use shorepath::api::*;
-use shorepath::Balancer;
+use shorepath_core::api::*;
+use shorepath_core::Balancer;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shorepath::api::*;
+use shorepath_core::api::*;
 use std::collections::BTreeSet;
 
 fn tenants(set: &mut Settings, quota_per_s: f64) {
--- a/tests/further.rs
+++ b/crates/core/tests/further.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use shorepath::api::*;
+use shorepath_core::api::*;
 
 /// Exact sliding window: at each further attempt those of the span, this one counted, keep to it.
 #[test]
@@ -136,7 +136,7 @@
     let met = |seed: u64, price: f64, hot: bool| {
         let mut set = settings();
         set.fetch_price = price;
-        let mut rig = Rig { balancer: shorepath::Balancer::new(set, seed), now: S, wakes: vec![] };
+        let mut rig = Rig { balancer: shorepath_core::Balancer::new(set, seed), now: S, wakes: vec![] };
         rig.event(Event::Roster((0..60).map(member).collect()));
         let mut met = std::collections::BTreeSet::new();
         for id in 0..1_200 {
--- a/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use shorepath::api::*;
-use shorepath::Balancer;
+use shorepath_core::api::*;
+use shorepath_core::Balancer;
 use std::collections::BTreeMap;
 
 struct Known {
--- a/tests/rfq.rs
+++ b/crates/core/tests/rfq.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use shorepath::api::*;
+use shorepath_core::api::*;
 
 /// Two tenants of 50 requests a second each; requests wanted within 100 ms.
 fn two_tenants() -> Settings {
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use shorepath::api::*;
+use shorepath_core::api::*;
 
 #[test]
 fn held_requests_are_refused_before_they_are_hopeless() {
@@ -217,7 +217,7 @@
 fn an_asked_list_is_subscribed_to_again_after_failure() {
     let mut set = settings();
     set.must_subscribe = true;
-    let mut rig = Rig { balancer: shorepath::Balancer::new(set, 1), now: S, wakes: vec![] };
+    let mut rig = Rig { balancer: shorepath_core::Balancer::new(set, 1), now: S, wakes: vec![] };
     assert!(rig.event(Event::Roster(vec![member(0)])).contains(&Action::Subscribe));
     rig.event(Event::RosterFailed);
     assert!(rig.pass(S).contains(&Action::Subscribe));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,7 @@
 #![doc = include_str!("../README.md")]
 
-pub mod api;
-pub mod balance;
 pub mod net;
-pub mod settings;
-mod state;
 pub mod wire;
 
-pub use api::{Action, Event, Settings};
-pub use balance::Balancer;
+pub use shorepath_core::{api, balance, settings};
+pub use shorepath_core::{Action, Balancer, Event, Settings};
