--- /dev/null
+++ b/crates/lab/src/plot.rs
@@ -0,0 +1,258 @@
+//! Plots as SVG.
+
+use crate::sim::tally::Report;
+use crate::stats::Interval;
+use crate::sweep::Rows;
+use plotters::coord::types::RangedCoordf64;
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+
+/// Why a plot could not be drawn.
+#[derive(Debug, thiserror::Error)]
+pub enum PlotError {
+    /// There is nothing to draw.
+    #[error("nothing to draw: {0}")]
+    Empty(String),
+    /// The drawing failed.
+    #[error("drawing failed: {0}")]
+    Drawing(String),
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+const SIZE: (u32, u32) = (860, 420);
+
+/// Colours that are told apart in print as well, in turn.
+const COLOURS: [RGBColor; 8] = [
+    RGBColor(0, 90, 160),
+    RGBColor(200, 80, 20),
+    RGBColor(30, 130, 70),
+    RGBColor(150, 50, 130),
+    RGBColor(120, 120, 120),
+    RGBColor(190, 150, 0),
+    RGBColor(0, 150, 170),
+    RGBColor(110, 70, 30),
+];
+
+fn drawing(e: impl std::fmt::Display) -> PlotError {
+    PlotError::Drawing(e.to_string())
+}
+
+/// One line of a plot, with a half width to each point where there is one.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    /// Its name.
+    pub name: String,
+    /// Its points, by x.
+    pub points: Vec<(f64, f64, Option<f64>)>,
+}
+
+/// A plot to be drawn.
+#[derive(Clone, Debug, Default)]
+pub struct Plot {
+    /// Above it.
+    pub title: String,
+    /// Below it.
+    pub x: String,
+    /// Beside it.
+    pub y: String,
+    /// Whether x is on a logarithmic scale.
+    pub log_x: bool,
+    /// The range of y, or what the points need.
+    pub y_range: Option<(f64, f64)>,
+    /// What it shows.
+    pub series: Vec<Series>,
+}
+
+impl Plot {
+    /// Draw it.
+    ///
+    /// # Errors
+    /// There are no points, or the drawing fails.
+    pub fn svg(&self) -> Result<String, PlotError> {
+        let mut text = String::new();
+        {
+            let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+            self.draw(&area)?;
+            area.present().map_err(drawing)?;
+        }
+        Ok(text)
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        if self.log_x {
+            x.max(1e-9).log10()
+        } else {
+            x
+        }
+    }
+
+    fn draw(&self, area: &Area) -> Result<(), PlotError> {
+        let all = || self.series.iter().flat_map(|s| &s.points);
+        let finite = all().filter(|p| p.0.is_finite() && p.1.is_finite());
+        let bounds = finite.fold(None, |b: Option<(f64, f64, f64, f64)>, p| {
+            let (x, half) = (self.at(p.0), p.2.filter(|h| h.is_finite()).unwrap_or(0.0));
+            let (low, high) = (p.1 - half, p.1 + half);
+            Some(b.map_or((x, x, low, high), |b| (b.0.min(x), b.1.max(x), b.2.min(low), b.3.max(high))))
+        });
+        let (x0, mut x1, low, high) = bounds.ok_or_else(|| PlotError::Empty(self.title.clone()))?;
+        if x1 <= x0 {
+            x1 = x0 + 1.0;
+        }
+        let room = ((high - low) * 0.05).max(1e-3);
+        let (y0, y1) = self.y_range.unwrap_or((low.min(0.0), high + room));
+        area.fill(&WHITE).map_err(drawing)?;
+        let mut chart: Chart = ChartBuilder::on(area)
+            .caption(&self.title, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(38)
+            .y_label_area_size(58)
+            .build_cartesian_2d(x0..x1, y0..y1)
+            .map_err(drawing)?;
+        let log = self.log_x;
+        let label = move |x: &f64| {
+            let x = if log { 10f64.powf(*x) } else { *x };
+            match x.abs() {
+                a if a >= 100.0 || x.fract() == 0.0 => format!("{x:.0}"),
+                a if a >= 1.0 => format!("{x:.1}"),
+                _ => format!("{x:.3}"),
+            }
+        };
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_desc(&self.x)
+            .y_desc(&self.y)
+            .x_label_formatter(&label)
+            .draw()
+            .map_err(drawing)?;
+        for (k, series) in self.series.iter().enumerate() {
+            let colour = COLOURS[k % COLOURS.len()];
+            let line = series.points.iter().map(|p| (self.at(p.0), p.1));
+            chart
+                .draw_series(LineSeries::new(line, colour.stroke_width(2)))
+                .map_err(drawing)?
+                .label(&series.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+            let bars = series.points.iter().filter_map(|p| Some((self.at(p.0), p.1, p.2?)));
+            let bars = bars.filter(|b| b.2.is_finite());
+            chart
+                .draw_series(bars.map(|(x, y, h)| PathElement::new([(x, y - h), (x, y + h)], colour)))
+                .map_err(drawing)?;
+        }
+        if self.series.len() > 1 {
+            chart
+                .configure_series_labels()
+                .background_style(WHITE.mix(0.85))
+                .border_style(BLACK.mix(0.2))
+                .draw()
+                .map_err(drawing)?;
+        }
+        Ok(())
+    }
+}
+
+/// The plots of one run: service over time, latency, and what is in flight, open and held.
+pub fn of_run(reports: &[Report]) -> Vec<(&'static str, Plot)> {
+    let over_time = |name: String, r: &Report, y: &dyn Fn(&crate::sim::tally::Moment) -> f64| Series {
+        name,
+        points: r.moments.iter().map(|m| (m.at, y(m), None)).collect(),
+    };
+    let service = Plot {
+        title: "Service over time".into(),
+        x: "seconds".into(),
+        y: "worth got / asked".into(),
+        y_range: Some((0.0, 1.05)),
+        // A second at a time: a quarter holds few requests.
+        series: reports
+            .iter()
+            .map(|r| {
+                let seconds = r.moments.chunks(4);
+                let mean = |c: &[crate::sim::tally::Moment]| {
+                    (c[0].at, c.iter().map(|m| m.service).sum::<f64>() / c.len() as f64, None)
+                };
+                Series { name: r.policy.clone(), points: seconds.map(mean).collect() }
+            })
+            .collect(),
+        ..Plot::default()
+    };
+    let latency = Plot {
+        title: "Latency of what was served".into(),
+        x: "seconds".into(),
+        y: "part".into(),
+        log_x: true,
+        y_range: Some((0.0, 1.02)),
+        series: reports
+            .iter()
+            .map(|r| Series {
+                name: r.policy.clone(),
+                points: r.cdf.iter().map(|p| (p.0, p.1, None)).collect(),
+            })
+            .collect(),
+    };
+    let mut plots = vec![("service", service), ("latency", latency)];
+    if let [r] = reports {
+        plots.push((
+            "queues",
+            Plot {
+                title: "In flight, open and held by servers".into(),
+                x: "seconds".into(),
+                y: "jobs".into(),
+                series: vec![
+                    over_time("in flight from nodes".into(), r, &|m| m.in_flight as f64),
+                    over_time("open at nodes".into(), r, &|m| m.open as f64),
+                    over_time("held by servers".into(), r, &|m| m.held as f64),
+                ],
+                ..Plot::default()
+            },
+        ));
+    }
+    plots
+}
+
+/// A figure of an experiment by what was varied first in numbers, a line for each value of the rest.
+///
+/// # Errors
+/// Nothing was varied in numbers.
+pub fn of_rows(rows: &Rows, figure: &str) -> Result<Plot, PlotError> {
+    let numeric = |k: &usize| rows.rows.iter().all(|r| r.values[*k].parse::<f64>().is_ok());
+    let x = (0..rows.varied.len()).find(numeric);
+    let Some(x) = x.filter(|_| !rows.rows.is_empty()) else {
+        return Err(PlotError::Empty(format!("{figure}: nothing is varied in numbers")));
+    };
+    let mut lines: BTreeMap<String, BTreeMap<u64, Vec<f64>>> = BTreeMap::new();
+    let mut order = Vec::new();
+    for row in &rows.rows {
+        let rest: Vec<&str> =
+            row.values.iter().enumerate().filter(|(k, _)| *k != x).map(|(_, v)| v.as_str()).collect();
+        let (name, at) = (rest.join(" "), row.values[x].parse::<f64>().unwrap_or(0.0));
+        if !lines.contains_key(&name) {
+            order.push(name.clone());
+        }
+        // The bits of numbers of one sign keep their order.
+        let points = lines.entry(name).or_default().entry(at.to_bits()).or_default();
+        points.extend(row.figure(figure));
+    }
+    let values: Vec<f64> = rows.rows.iter().filter_map(|r| r.values[x].parse().ok()).collect();
+    let (low, high) = values.iter().fold((f64::MAX, 0.0f64), |b, v| (b.0.min(*v), b.1.max(*v)));
+    let series = order.iter().map(|name| Series {
+        name: name.clone(),
+        points: lines[name]
+            .iter()
+            .filter_map(|(at, all)| {
+                let i = Interval::of(all, 0.95)?;
+                Some((f64::from_bits(*at), i.mean, Some(i.half)))
+            })
+            .collect(),
+    });
+    Ok(Plot {
+        title: format!("{}: {figure} by {}", rows.name, rows.varied[x]),
+        x: rows.varied[x].clone(),
+        y: figure.to_string(),
+        log_x: low > 0.0 && high / low >= 50.0,
+        y_range: None,
+        series: series.collect(),
+    })
+}
--- /dev/null
+++ b/crates/lab/src/sim/server.rs
@@ -0,0 +1,224 @@
+//! One backend server: cores shared among the jobs in its slots, and a bounded queue before them.
+
+use super::RunKey;
+use shorepath_core::api::Micros;
+use std::collections::VecDeque;
+
+/// Work left below this (microseconds on a core of speed 1) is done: what rounding leaves.
+const DONE: f64 = 1e-3;
+
+/// What never changes about a server.
+#[derive(Clone, Debug)]
+pub struct Make {
+    /// Index into the scenario's kinds.
+    pub kind: u32,
+    /// Index into its zones.
+    pub zone: u32,
+    /// Cores.
+    pub cores: u32,
+    /// Jobs in work at once.
+    pub slots: u32,
+    /// Speed of a core; 1 is the yardstick.
+    pub speed: f64,
+    /// Jobs that wait beyond the slots.
+    pub queue: u32,
+    /// Part of its rate lost for each job held beyond the slots.
+    pub crowd: f64,
+    /// Share of the capacity right after a start.
+    pub cold: f64,
+    /// Whole after this time.
+    pub warm_up: Micros,
+}
+
+/// A server as it stands.
+#[derive(Debug)]
+pub struct Server {
+    /// What it is.
+    pub make: Make,
+    /// Faults in force that keep its process from being there, from moving, from being reached.
+    pub down: u32,
+    /// See `down`.
+    pub paused: u32,
+    /// See `down`.
+    pub cut: u32,
+    /// It finishes what it has and turns away the rest.
+    pub draining: u32,
+    /// When it last started; 0 for long ago.
+    pub born: Micros,
+    /// What each fault in force leaves of its speed, by the fault's number.
+    pub factors: Vec<(u32, f64)>,
+    /// The share of jobs that each fault in force makes it fail.
+    pub failing: Vec<(u32, f64)>,
+    /// Connections open to it.
+    pub connections: u32,
+    /// Grows with each change of what it does next: events of earlier states are void.
+    pub turn: u32,
+    running: Vec<(RunKey, f64)>,
+    queue: VecDeque<(RunKey, f64)>,
+    queued_work: f64,
+    at: Micros,
+    /// Work done so far, in microseconds on a core of speed 1.
+    pub done: f64,
+    /// What it was sent while cold: when, how much, and whether by one that was told of its start.
+    recent: VecDeque<(Micros, f64, bool)>,
+}
+
+impl Server {
+    /// A warm one that has nothing to do.
+    pub fn new(make: Make) -> Self {
+        Server {
+            make,
+            down: 0,
+            paused: 0,
+            cut: 0,
+            draining: 0,
+            born: 0,
+            factors: Vec::new(),
+            failing: Vec::new(),
+            connections: 0,
+            turn: 0,
+            running: Vec::new(),
+            queue: VecDeque::new(),
+            queued_work: 0.0,
+            at: 0,
+            done: 0.0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Whether it is not yet warm.
+    pub fn is_cold(&self, now: Micros) -> bool {
+        self.born > 0 && now < self.born + self.make.warm_up
+    }
+
+    /// The part of its capacity that its age lets it have.
+    fn warmth(&self, now: Micros) -> f64 {
+        if !self.is_cold(now) {
+            return 1.0;
+        }
+        let age = (now - self.born) as f64 / self.make.warm_up as f64;
+        self.make.cold + (1.0 - self.make.cold) * age.max(0.0)
+    }
+
+    /// What it can do now, in work a microsecond with all cores busy.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        let faults: f64 = self.factors.iter().map(|f| f.1).product();
+        let moves = f64::from(u8::from(self.paused == 0 && self.down == 0));
+        f64::from(self.make.cores) * self.make.speed * faults * self.warmth(now) * moves
+    }
+
+    /// The rate of each job in work.
+    fn rate(&self, now: Micros) -> f64 {
+        let held = (self.running.len() + self.queue.len()) as f64;
+        let crowded = 1.0 + self.make.crowd * (held - f64::from(self.make.slots)).max(0.0);
+        let cores = f64::from(self.make.cores).max(self.running.len() as f64);
+        self.capacity(now) / crowded / cores
+    }
+
+    /// Bring what is in work up to that time. To be called before anything about it changes.
+    pub fn advance(&mut self, now: Micros) {
+        if self.running.is_empty() {
+            self.at = now;
+            return;
+        }
+        // At the rate of the time that it was last brought up to; a cold one is brought up often.
+        let step = self.rate(self.at) * (now - self.at) as f64;
+        self.at = now;
+        for (_, left) in &mut self.running {
+            self.done += step.min(*left);
+            *left -= step;
+        }
+    }
+
+    /// What is in work and has nothing left, in the order of its start.
+    pub fn finished(&mut self) -> Vec<RunKey> {
+        let done = self.running.iter().filter(|r| r.1 <= DONE).map(|r| r.0).collect();
+        self.running.retain(|r| r.1 > DONE);
+        done
+    }
+
+    /// When the next job in work will be done, as things stand; it is not before `now`.
+    pub fn next_finish(&self, now: Micros) -> Option<Micros> {
+        let rate = self.rate(now);
+        let least = self.running.iter().map(|r| r.1).min_by(f64::total_cmp)?;
+        (rate > 0.0).then(|| now + (least / rate).ceil().clamp(1.0, 1e15) as Micros)
+    }
+
+    /// Whether it has room for one more job at all.
+    pub fn has_room(&self) -> bool {
+        self.running.len() < self.make.slots as usize || self.queue.len() < self.make.queue as usize
+    }
+
+    /// A job joins the queue.
+    pub fn push(&mut self, run: RunKey, work: f64) {
+        self.queued_work += work;
+        self.queue.push_back((run, work));
+    }
+
+    /// The next waiting job goes to work, where there is a slot for it.
+    pub fn start_next(&mut self) -> Option<RunKey> {
+        if self.running.len() >= self.make.slots as usize {
+            return None;
+        }
+        let (run, work) = self.queue.pop_front()?;
+        self.queued_work -= work;
+        self.running.push((run, work));
+        Some(run)
+    }
+
+    /// A job is taken away; what it had left, if it was there.
+    pub fn remove(&mut self, run: RunKey) -> Option<f64> {
+        if let Some(k) = self.running.iter().position(|r| r.0 == run) {
+            return Some(self.running.remove(k).1);
+        }
+        let k = self.queue.iter().position(|r| r.0 == run)?;
+        let (_, work) = self.queue.remove(k)?;
+        self.queued_work -= work;
+        Some(work)
+    }
+
+    /// Everything that it holds is lost: what was in work with what each had left, then what waited.
+    pub fn drop_all(&mut self) -> Vec<(RunKey, f64)> {
+        let mut all = std::mem::take(&mut self.running);
+        all.extend(self.queue.drain(..));
+        (self.queued_work, self.connections) = (0.0, 0);
+        self.recent.clear();
+        all
+    }
+
+    /// Jobs that it holds.
+    pub fn held(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    /// Work that it holds.
+    pub fn backlog(&self) -> f64 {
+        self.running.iter().map(|r| r.1).sum::<f64>() + self.queued_work
+    }
+
+    /// A cold one is sent that much work. If the sum over the window is more than so many times what it
+    /// can do now: the part that came from those who were told of its start.
+    pub fn push_cold(
+        &mut self,
+        now: Micros,
+        work: f64,
+        told: bool,
+        (multiple, window): (f64, Micros),
+    ) -> Option<f64> {
+        self.recent.push_back((now, work, told));
+        while self.recent.front().is_some_and(|r| r.0 <= now - window) {
+            self.recent.pop_front();
+        }
+        let sum: f64 = self.recent.iter().map(|r| r.1).sum();
+        let known: f64 = self.recent.iter().filter(|r| r.2).map(|r| r.1).sum();
+        // One job more than the budget, and be it the greatest, is chance and not a push.
+        let greatest = self.recent.iter().map(|r| r.1).fold(0.0, f64::max);
+        let most = multiple * self.capacity(now) * window as f64 + greatest;
+        (sum > most).then(|| known / sum)
+    }
+
+    /// The share of jobs that it fails.
+    pub fn fails(&self) -> f64 {
+        1.0 - self.failing.iter().map(|f| 1.0 - f.1).product::<f64>()
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/rules.rs
@@ -0,0 +1,138 @@
+//! Every checker catches what it is there for, and keeps quiet otherwise.
+
+use rstest::rstest;
+use shorepath_core::api::Effect;
+use shorepath_lab::rules::{Answer, Checker, Limits, Rule};
+use shorepath_lab::scenario::{read, Scenario};
+use shorepath_lab::sim::{run, story};
+
+const MS: i64 = 1_000;
+
+/// A request that must not repeat, due at 5 s, taken by node 0 with server 0 live.
+fn checker() -> Checker {
+    let mut c = Checker::new(Limits { slack: 16 * MS, drain_grace: 500 * MS });
+    c.told(0, 0, true, 0, 0);
+    c.taken(7, 5_000 * MS, Effect::Unsafe);
+    c
+}
+
+#[rstest]
+#[case::well(&[], |c: &mut Checker| {
+    c.sent(7, 0, 0, 0);
+    c.ended(7, true);
+    c.sent(7, 0, 1, 0);
+    c.begun(7, 1, 0);
+    c.ended(7, false);
+    c.answered(7, Answer::Failed, 5_016 * MS);
+})]
+#[case::unanswered(&[Rule::Unanswered], |c: &mut Checker| c.overdue(7, 5_016 * MS))]
+#[case::too_late(&[Rule::Unanswered], |c: &mut Checker| c.answered(7, Answer::Served, 5_017 * MS))]
+#[case::twice(&[Rule::AnsweredTwice], |c: &mut Checker| {
+    c.answered(7, Answer::Served, 0);
+    c.answered(7, Answer::Failed, 0);
+})]
+#[case::never_asked(&[Rule::AnsweredTwice], |c: &mut Checker| c.answered(8, Answer::Failed, 0))]
+#[case::after_end(&[Rule::SentAfterEnd], |c: &mut Checker| {
+    c.answered(7, Answer::Refused, 0);
+    c.sent(7, 0, 0, 0);
+})]
+#[case::unknown(&[Rule::SentAfterEnd], |c: &mut Checker| c.sent(8, 0, 0, 0))]
+#[case::second_copy(&[Rule::SentAgain], |c: &mut Checker| {
+    c.sent(7, 0, 0, 0);
+    c.sent(7, 0, 1, 0);
+})]
+#[case::may_have_run(&[Rule::SentAgain], |c: &mut Checker| {
+    c.sent(7, 0, 0, 0);
+    c.ended(7, false);
+    c.sent(7, 0, 1, 0);
+})]
+#[case::ran_twice(&[Rule::RanTwice], |c: &mut Checker| {
+    c.begun(7, 0, 0);
+    c.begun(7, 1, 0);
+})]
+#[case::refused(&[Rule::RefusedAfterRun], |c: &mut Checker| {
+    c.sent(7, 0, 0, 0);
+    c.ended(7, false);
+    c.answered(7, Answer::Refused, 0);
+})]
+#[case::drained(&[Rule::Drain], |c: &mut Checker| {
+    c.told(0, 0, false, 0, 1_000 * MS);
+    c.told(0, 0, false, 0, 1_400 * MS);
+    c.sent(7, 0, 0, 1_500 * MS + 1);
+})]
+#[case::in_grace(&[], |c: &mut Checker| {
+    c.told(0, 0, false, 0, 1_000 * MS);
+    c.sent(7, 0, 0, 1_500 * MS);
+})]
+#[case::told_elsewhere(&[], |c: &mut Checker| {
+    c.told(1, 0, false, 0, 0);
+    c.sent(7, 0, 0, 4_000 * MS);
+})]
+#[case::back_again(&[], |c: &mut Checker| {
+    c.told(0, 0, false, 0, 0);
+    c.told(0, 0, true, 2_000 * MS, 2_000 * MS);
+    c.sent(7, 0, 0, 4_000 * MS);
+})]
+#[case::felled(&[Rule::Felled], |c: &mut Checker| c.fell(0, 0.67, 0))]
+#[case::felled_by_the_untold(&[], |c: &mut Checker| c.fell(0, 0.66, 0))]
+fn a_planted_violation_is_caught(#[case] wanted: &[Rule], #[case] act: fn(&mut Checker)) {
+    let mut c = checker();
+    act(&mut c);
+    let (kept, count) = c.violations();
+    assert_eq!(kept.iter().map(|v| v.rule).collect::<Vec<_>>(), wanted);
+    assert_eq!(count, wanted.len() as u64);
+}
+
+/// Every trouble at once, several of them on the same servers.
+const ALL: &str = "
+  (fault crash (at 3 s) (for 4 s) (part 0.3))
+  (fault crash (at 5 s) (for 4 s) (part 0.5))
+  (fault pause (at 4 s) (for 3 s) (part 0.4))
+  (fault neighbour (at 2 s) (for 14 s) (part 0.5) (size 0.6) (every 1 s))
+  (fault slow (at 6 s) (for 4 s) (size 2))
+  (fault cut (at 8 s) (for 3 s) (part 0.3))
+  (fault zone-loss (at 10 s) (for 3 s) (zone vejle))
+  (fault bad-release (at 9 s) (for 5 s) (part 0.4) (size 0.4))
+  (fault shrink (at 11 s) (for 5 s) (part 0.4) (drain 1 s))
+  (fault silence (at 12 s) (for 2 s))
+  (fault flood (at 14 s) (for 3 s) (tenant sjaelland-syd) (size 5))
+  (fault costly (at 1 s) (for 16 s) (class day-forecast) (part 0.03) (size 15))";
+
+fn example(faults: &str) -> Scenario {
+    let text = include_str!("../../../examples/lab/odense.sexp");
+    let calm = &text[..text.find("  (fault").unwrap()];
+    read("test", &format!("{calm} {faults})")).unwrap_or_else(|e| panic!("{e}"))
+}
+
+/// The module keeps the rules, whatever comes together; and what every request came to adds up.
+#[test]
+fn the_module_keeps_the_rules_under_everything_at_once() {
+    for seed in 1..=12 {
+        let mut sc = example(ALL);
+        (sc.seed, sc.length) = (seed, 20_000_000);
+        sc.clients.patience = if seed % 3 == 0 { 0.4 } else { 1.0 };
+        let report = run(&sc);
+        assert_eq!(report.broken, 0, "seed {seed}: {:?}", report.violations);
+        let c = report.counts;
+        assert_eq!(c.asked, c.timely + c.late + c.refused + c.failed + c.left, "seed {seed}");
+        assert!(report.endings.len() >= 6, "seed {seed} met too little: {:?}", report.endings);
+    }
+}
+
+/// A policy that knows nothing of drains breaks the rule, and the story of the request tells how.
+#[test]
+fn a_broken_rule_tells_the_whole_story_of_its_request() {
+    // Told of the starts at once, they send to cold servers as to warm ones.
+    let mut sc =
+        example("(fault crash (at 2 s) (for 2 s) (part 0.8)) (fault flood (at 4 s) (for 4 s) (size 12))");
+    (sc.policy, sc.length, sc.lag) = ("least-of-two".to_string(), 20_000_000, (0, 0));
+    let report = run(&sc);
+    assert!(report.fell > 0 && report.broken > 0, "{} fell, {} broken", report.fell, report.broken);
+    assert!(report.violations[0].starts_with("Felled at "), "{:?}", report.violations);
+    // Any request's story can be had again.
+    let first = 1u64 << 32 | 1;
+    let lines = story(&sc, first);
+    assert!(lines[0].what.starts_with("taken by node"), "{lines:?}");
+    assert!(lines.last().unwrap().what.contains("answered: Served"), "{lines:?}");
+    assert!(lines.windows(2).all(|w| w[0].at <= w[1].at));
+}
