Play the lab's scenarios on sockets: load with real nodes, and agree with the emulator

Need: the emulator models the transport, so how far it lies from sockets has to be measured, with the same scenarios, checkers and report.

Change: shorepath-lab load starts real nodes, a discovery and backend servers that are the emulator's own model in real time; open loop, latency from the intended time, withheld with a word where the lab itself ran late; agree plays both. What a client does with an answer and what a fault does to a server are pure and shared.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,8 +3,10 @@
 //! Pure core, thin shell: [`sim`], [`policy`], [`rules`] and [`scenario`] know no clock, no file and no
 //! thread. See `docs/lab.md` for its use and `docs/design/lab.md` for why it is as it is.
 
+pub mod clients;
 pub mod compare;
 pub mod experiment;
+pub mod load;
 pub mod plot;
 pub mod policy;
 pub mod report;
--- /dev/null
+++ b/crates/lab/src/load/nodes.rs
@@ -0,0 +1,145 @@
+//! The nodes: the real program, one process each, by a configuration made from the scenario.
+
+use super::{LoadError, Rig};
+use crate::sim::draw::{stream, Purpose};
+use crate::sim::faults::member;
+use rand::RngExt;
+use serde_json::{json, Value};
+use shorepath_core::api::{Effect, Member, Standing};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// Within this time a node serves, or is gone after it was told to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A node that serves. It ends with this.
+#[derive(Debug)]
+pub struct Node {
+    child: Child,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    _dir: TempDir,
+}
+
+/// Discovery's entry for a server.
+pub fn entry(rig: &Rig, m: &Member) -> Value {
+    let address = rig.addresses.borrow()[m.worker.0 as usize];
+    let phase = match m.standing {
+        Standing::Live => "active",
+        Standing::Draining => "leaving",
+        Standing::Gone => "left",
+    };
+    // The models' clock began with the rig: a start is told by the wall's clock.
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let ago = (rig.now() - m.started).max(0) / 1_000;
+    let started = if m.started > 0 { unix.as_millis() as i64 - ago } else { 0 };
+    json!({"id": format!("s-{}", m.worker.0), "host_port": address.to_string(),
+           "locality": rig.sc.zones[m.zone.0 as usize], "flavor": rig.sc.servers.kinds[m.kind.0 as usize].name,
+           "cell": 0, "phase": phase, "size": m.scale, "up_since_ms": started})
+}
+
+/// All entries as they stand.
+pub fn entries(rig: &Rig) -> Vec<Value> {
+    let servers = rig.servers.borrow();
+    servers.iter().enumerate().map(|(k, s)| entry(rig, &member(&rig.sc, k as u32, s))).collect()
+}
+
+/// The configuration of a node, as the platform gives it.
+fn config(rig: &Rig, node: u32, discovery: SocketAddr) -> Value {
+    let sc = &rig.sc;
+    let ms = |t: i64| t as f64 / 1000.0;
+    let class = |c: &crate::scenario::Class| {
+        let semantics = if c.effect == Effect::Unsafe { "single_shot" } else { "free" };
+        json!({"name": c.name, "semantics": semantics, "target_ms": ms(c.wanted), "deadline_ms": ms(c.give_up),
+               "late_worth": c.late, "worth": c.worth})
+    };
+    let classes: Vec<Value> = sc.classes.iter().map(class).collect();
+    let stretch: Vec<f64> = sc.classes.iter().map(|c| c.stretch).collect();
+    let project =
+        |t: &crate::scenario::Tenant| json!({"name": t.name, "portion": t.share, "quota_rps": t.quota});
+    let seed: u64 = stream(sc.seed, Purpose::Node(node)).random();
+    json!({
+        "name": format!("n{node}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 1, "complete": true, "members": entries(rig)},
+        "settings": {
+            "allowed": {"cancel": true, "conn_idle_ms": ms(sc.network.idle),
+                        "connect_timeout_ms": ms(sc.network.connect_timeout),
+                        "max_retry_after_ms": ms(sc.rules.retry_after),
+                        "retry_after": sc.rules.retry_after > 0, "try_limit": sc.rules.attempts},
+            "azs": sc.zones, "classes": classes, "costs": {"cross_zone": sc.rules.cross_zone},
+            "discovery": "pushed",
+            "family_info": {"class_kind": vec![-1; stretch.len()], "class_stretch": stretch,
+                            "tells_start": sc.servers.tells_start},
+            "granularity_ms": 1.0,
+            "kinds": sc.servers.kinds.iter().map(|k| &k.name).collect::<Vec<_>>(),
+            "over_share_worth": sc.rules.over_share,
+            "projects": sc.tenants.iter().map(project).collect::<Vec<_>>(),
+            "rank": node, "replicas_of_me": sc.nodes,
+            "rules": {"cold_ms": ms(sc.servers.warm_up), "cold_share": sc.servers.cold,
+                      "drain_grace_ms": ms(sc.rules.drain_grace), "fall_ms": ms(sc.servers.fall_window),
+                      "tip_multiple": sc.servers.fall_multiple},
+            "weights": "nominal", "zone": sc.zones[node as usize % sc.zones.len()],
+        }
+    })
+}
+
+/// Start all nodes and wait until they serve.
+pub async fn start(rig: &Rig, program: &Path, discovery: SocketAddr) -> Result<Vec<Node>, LoadError> {
+    let mut nodes = Vec::new();
+    for node in 0..rig.sc.nodes {
+        let fail = |why: String| LoadError::Node { program: program.to_path_buf(), why };
+        let dir = tempfile::Builder::new().prefix("lab").tempdir()?;
+        let path = dir.path().join("config.json");
+        std::fs::write(&path, config(rig, node, discovery).to_string())?;
+        let mut child = Command::new(program)
+            .args(["serve", "--config"])
+            .arg(&path)
+            .env("TMPDIR", dir.path())
+            .env_remove("ROUTER_LISTEN")
+            .env_remove("ROUTER_DISCOVERY")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| fail(e.to_string()))?;
+        let log = child.stderr.take().ok_or_else(|| fail("has no log".into()))?;
+        let mut lines = BufReader::new(log).lines();
+        let mut last = String::new();
+        let ready = async {
+            while let Ok(Some(line)) = lines.next_line().await {
+                if let Some(at) = line.rsplit_once("serves on ").and_then(|(_, a)| a.trim().parse().ok()) {
+                    return Some(at);
+                }
+                last = line;
+            }
+            None
+        };
+        let address = timeout(PATIENCE, ready).await.ok().flatten();
+        let address = address.ok_or_else(|| fail(format!("does not serve: {last}")))?;
+        // Its log is read on, or it would drop lines and nobody would know.
+        tokio::task::spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        nodes.push(Node { child, address, _dir: dir });
+    }
+    Ok(nodes)
+}
+
+impl Node {
+    /// Have it end as at a planned stop; all that it took is answered by now.
+    pub async fn stop(mut self) -> Result<(), LoadError> {
+        let fail = |why: String| LoadError::Node { program: "a node".into(), why };
+        if let Some(status) = self.child.try_wait()? {
+            return Err(fail(format!("ended by itself: {status}")));
+        }
+        self.child.start_kill()?;
+        timeout(PATIENCE, self.child.wait()).await.map_err(|_| fail("does not end".into()))??;
+        Ok(())
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,10 @@
 //! The command line of the lab.
 
-use bpaf::Bpaf;
+use bpaf::{long, Bpaf, Parser};
 use indicatif::{ProgressBar, ProgressStyle};
 use shorepath_lab::compare::{self, paired};
 use shorepath_lab::experiment::{change, scenario_file, Experiment, ExperimentError, FIGURES};
+use shorepath_lab::load::{self, LoadError, Played};
 use shorepath_lab::plot::{of_rows, of_run, PlotError};
 use shorepath_lab::scenario::{self, Scenario};
 use shorepath_lab::sim::tally::Report;
@@ -104,6 +105,40 @@
         #[bpaf(positional("SOURCE"))]
         source: PathBuf,
     },
+    /// Play a scenario with real nodes on loopback sockets; ends with 2 where a rule was broken
+    #[bpaf(command)]
+    Load {
+        #[bpaf(external)]
+        changes: Changes,
+        #[bpaf(external)]
+        program: PathBuf,
+        /// Print the whole report as JSON
+        #[bpaf(long)]
+        json: bool,
+        /// The scenario
+        #[bpaf(positional("SCENARIO"))]
+        file: PathBuf,
+    },
+    /// Play scenarios both ways and say how far emulator and sockets lie apart; ends with 2 where it is too far
+    #[bpaf(command)]
+    Agree {
+        #[bpaf(external)]
+        changes: Changes,
+        #[bpaf(external)]
+        program: PathBuf,
+        /// How far the services may lie apart
+        #[bpaf(long, argument("PART"), fallback(0.03), display_fallback)]
+        within: f64,
+        /// Seeds; the means are compared
+        #[bpaf(long, argument("N"), fallback(1), display_fallback)]
+        replications: u64,
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// The scenarios
+        #[bpaf(positional("SCENARIO"), some("name a scenario"))]
+        files: Vec<PathBuf>,
+    },
     /// Check scenarios and experiments and say what is wrong with them
     #[bpaf(command)]
     Check {
@@ -113,6 +148,18 @@
     },
 }
 
+/// The node's program: the one beside this one where it isn't named.
+fn program() -> impl Parser<PathBuf> {
+    let usual = || {
+        let beside = std::env::current_exe()?.with_file_name("shorepath");
+        Ok::<_, std::io::Error>(beside)
+    };
+    long("program")
+        .help("The node's program; the one beside this one where it isn't given")
+        .argument("FILE")
+        .fallback_with(usual)
+}
+
 #[derive(Clone, Debug, Bpaf)]
 struct Changes {
     /// Another policy
@@ -139,6 +186,8 @@
     File(PathBuf, std::io::Error),
     #[error("{0}")]
     Usage(String),
+    #[error("{0}")]
+    Load(#[from] LoadError),
     #[error("can't be written as JSON: {0}")]
     Json(#[from] serde_json::Error),
 }
@@ -238,6 +287,40 @@
     }
 }
 
+/// How far emulator and sockets lie apart.
+#[derive(Clone, Debug, serde::Serialize)]
+struct Apart {
+    scenario: String,
+    emulator: f64,
+    sockets: f64,
+    difference: f64,
+    late: bool,
+    broken: u64,
+}
+
+fn agree(scenario: &Scenario, program: &Path, replications: u64) -> Result<Apart, Failure> {
+    let (mut sums, mut late, mut broken) = ([0.0; 2], false, 0);
+    for k in 0..replications.max(1) {
+        let scenario = Scenario { seed: scenario.seed + k, ..scenario.clone() };
+        let (emulated, played) = (sim::run(&scenario), load::play(&scenario, program)?);
+        sums[0] += emulated.service;
+        sums[1] += played.report.service;
+        late |= played.late;
+        broken += emulated.broken + played.report.broken;
+    }
+    let [emulator, sockets] = sums.map(|s| s / replications.max(1) as f64);
+    let (scenario, difference) = (scenario.name.clone(), sockets - emulator);
+    Ok(Apart { scenario, emulator, sockets, difference, late, broken })
+}
+
+fn print_lag(played: &Played) {
+    let [median, most, last] = played.lag.map(|s| s * 1e3);
+    say!("  sent {median:.1} ms late at the median, {most:.1} at 99%, {last:.1} at most");
+    if played.late {
+        say!("  THE LAB RAN LATE: latencies are withheld, and the figures are those of a machine that is too small");
+    }
+}
+
 /// A bar where somebody looks on.
 fn bar() -> ProgressBar {
     let bar = if std::io::stderr().is_terminal() { ProgressBar::new(0) } else { ProgressBar::hidden() };
@@ -359,6 +442,42 @@
             write(&out, &page)?;
             say!("{}", out.display());
         }
+        Command::Load { changes, program, json, file } => {
+            let scenario = changes.apply(&file)?;
+            let played = load::play(&scenario, &program)?;
+            if json {
+                say!("{}", serde_json::to_string(&played)?);
+            } else {
+                print_report(&played.report);
+                print_lag(&played);
+                played.report.violations.iter().for_each(|v| say!("    {v}"));
+            }
+            return Ok(if played.report.broken > 0 { ExitCode::from(2) } else { ExitCode::SUCCESS });
+        }
+        Command::Agree { changes, program, within, replications, json, files } => {
+            let mut apart = Vec::new();
+            for file in &files {
+                let scenario = changes.apply(file)?;
+                let one = agree(&scenario, &program, replications)?;
+                if !json {
+                    let far = if one.difference.abs() <= within { "agree" } else { "DON'T AGREE" };
+                    say!(
+                        "{:16} emulator {:.3}, sockets {:.3}, {:+.3}: {far}{}",
+                        scenario.name,
+                        one.emulator,
+                        one.sockets,
+                        one.difference,
+                        if one.late { " (the lab ran late)" } else { "" }
+                    );
+                }
+                apart.push(one);
+            }
+            if json {
+                say!("{}", serde_json::to_string(&apart)?);
+            }
+            let good = apart.iter().all(|a| a.difference.abs() <= within && !a.late && a.broken == 0);
+            return Ok(if good { ExitCode::SUCCESS } else { ExitCode::from(2) });
+        }
         Command::Check { files } => {
             let mut wrong = false;
             for file in &files {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -4,15 +4,16 @@
 //! what one event makes a node do happens before the next event.
 
 pub mod draw;
-mod faults;
+pub mod faults;
 mod net;
 pub mod server;
 pub mod tally;
 
+use crate::clients::{self, Next};
 use crate::policy::{self, Scheduler};
 use crate::rules::{Answer, Checker, Limits};
 use crate::scenario::Scenario;
-use draw::{between, cumulate, stream, Arrivals, Jobs, Purpose};
+use draw::{cumulate, stream, Arrivals, Jobs, Purpose};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use server::{Make, Server};
@@ -237,7 +238,8 @@
     World::new(scenario, Some(request)).into_report().1
 }
 
-fn make_servers(sc: &Scenario) -> Vec<Server> {
+/// The fleet of a scenario, warm and idle.
+pub fn make_servers(sc: &Scenario) -> Vec<Server> {
     let mut rng = stream(sc.seed, Purpose::Fleet);
     let s = &sc.servers;
     let kinds = cumulate(s.kinds.iter().map(|k| k.share));
@@ -310,9 +312,15 @@
             servers,
             sc,
         };
-        world.plan_faults();
+        world.struck = (0..sc.faults.len()).map(|f| faults::struck(sc, &world.servers, f)).collect();
+        for (index, f) in sc.faults.iter().enumerate() {
+            for (at, step) in faults::steps(f, world.end() - START) {
+                world.at(START + at, Happening::Fault { index: index as u32, step });
+            }
+        }
         for node in 0..sc.nodes {
-            let list: Vec<Member> = (0..sc.servers.count).map(|s| world.member(s, Standing::Live)).collect();
+            let servers = world.servers.iter().enumerate();
+            let list: Vec<Member> = servers.map(|(k, s)| faults::member(sc, k as u32, s)).collect();
             for m in &list {
                 world.checker.told(node, m.worker.0, true, 0, START);
             }
@@ -495,26 +503,11 @@
         let ask_key = one.ask;
         self.nodes[one.node as usize].open -= 1;
         let Some(ask) = self.asks.get(ask_key) else { return };
-        let class = &self.sc.classes[ask.class as usize];
-        let safe = class.effect == Effect::Safe;
-        let (took, tries) = (self.now - ask.first, ask.tries);
-        if answer == Answer::Served {
-            let due = class.wanted + (class.stretch * ask.work) as Micros;
-            let outcome = if took <= due { Outcome::Timely } else { Outcome::Late };
-            self.settle(ask_key, outcome);
-        } else {
-            let (low, high) = self.sc.clients.wait;
-            let wait = between(&mut self.clients, (low, high));
-            let wait = retry_after.filter(|_| self.sc.clients.heed).map_or(wait, |r| r.max(wait));
-            let again = (answer == Answer::Refused || safe)
-                && tries <= self.sc.clients.retries
-                && took + wait < class.give_up;
-            if again {
-                self.at(self.now + wait, Happening::Retry(ask_key));
-            } else {
-                let refused = answer == Answer::Refused;
-                self.settle(ask_key, if refused { Outcome::Refused } else { Outcome::Failed });
-            }
+        let so_far = (self.now - ask.first, ask.tries);
+        let answer = (answer, retry_after);
+        match clients::next(self.sc, ask.class as usize, ask.work, answer, so_far, &mut self.clients) {
+            Next::Retry(wait) => self.at(self.now + wait, Happening::Retry(ask_key)),
+            Next::Settled(outcome) => self.settle(ask_key, outcome),
         }
         self.close(key);
     }
--- a/crates/lab/src/sim/net.rs
+++ b/crates/lab/src/sim/net.rs
@@ -1,9 +1,11 @@
 //! Attempts: from a node over the network to a server, and the news back.
 
 use super::draw::between;
-use super::server::Server;
-use super::{AskKey, Happening, News, Run, RunKey, Stage, World, SWEEP};
+use super::faults::{member, strike, Step};
+use super::server::{Offer, Server};
+use super::{AskKey, Happening, News, Run, RunKey, Stage, World, SWEEP, WARMING};
 use crate::rules::Answer;
+use crate::scenario::Trouble;
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1};
 use shorepath_core::api::*;
@@ -127,25 +129,21 @@
         if s.down > 0 {
             return self.back(key, News::Ended(Status::Reset));
         }
-        if s.is_cold(self.now) {
-            let told = self.checker.knows_start(node, server, s.born);
-            if let Some(share) = s.push_cold(self.now, work, told, cold) {
+        let told = self.checker.knows_start(node, server, s.born);
+        match s.offer(self.now, key, work, told, cold) {
+            Offer::Taken => {}
+            Offer::Full => {
+                self.follow(id, || format!("server {server} turns it away"));
+                return self.back(key, News::Ended(Status::Full));
+            }
+            Offer::Fell(share) => {
                 self.checker.fell(server, share, self.now);
                 self.tally.fell();
-                self.falls(server);
-                return;
+                return self.goes_down(server);
             }
         }
-        let s = &mut self.servers[server as usize];
-        if s.draining > 0 || !s.has_room() {
-            self.follow(id, || format!("server {server} turns it away"));
-            return self.back(key, News::Ended(Status::Full));
-        }
-        let fails = s.fails();
+        let fails = self.servers[server as usize].fails();
         let fails = fails > 0.0 && self.failures.random::<f64>() < fails;
-        let s = &mut self.servers[server as usize];
-        s.advance(self.now);
-        s.push(key, work);
         if let Some(run) = self.runs.get_mut(key) {
             (run.stage, run.fails) = (Stage::Held, fails);
         }
@@ -155,16 +153,10 @@
     /// Bring a server up to date: what is done goes back, what waits is begun.
     pub(super) fn work_on(&mut self, server: u32) {
         let now = self.now;
-        let s = &mut self.servers[server as usize];
-        s.advance(now);
-        for key in s.finished() {
-            self.finished(key);
-        }
-        while let Some(key) = self.servers[server as usize].start_next() {
-            self.begun(key);
-        }
-        let s = &mut self.servers[server as usize];
-        s.turn += 1;
+        let (done, begun) = self.servers[server as usize].step(now);
+        done.into_iter().for_each(|key| self.finished(key));
+        begun.into_iter().for_each(|key| self.begun(key));
+        let s = &self.servers[server as usize];
         let turn = s.turn;
         if let Some(at) = s.next_finish(now) {
             self.at(at, Happening::Finish { server, turn });
@@ -258,6 +250,72 @@
         }
     }
 
+    /// Discovery's news of where a server stands goes to every node, each in its own time, but in order.
+    pub(super) fn announce(&mut self, server: u32) {
+        let news = self.news.len() as u32;
+        self.news.push(member(self.sc, server, &self.servers[server as usize]));
+        for node in 0..self.nodes.len() as u32 {
+            let lag = between(&mut self.discovery, self.sc.lag);
+            let at = (self.now + lag).max(self.silent_until).max(self.nodes[node as usize].told);
+            self.nodes[node as usize].told = at;
+            self.at(at, Happening::Told { node, news });
+        }
+    }
+
+    pub(super) fn told(&mut self, node: u32, news: u32) {
+        let member = self.news[news as usize].clone();
+        let live = member.standing == Standing::Live;
+        self.checker.told(node, member.worker.0, live, member.started, self.now);
+        self.tell(node, Event::RosterChange(vec![member]));
+    }
+
+    pub(super) fn fault(&mut self, index: u32, step: Step) {
+        let f = &self.sc.faults[index as usize];
+        if f.trouble == Trouble::Silence {
+            if step == Step::Begins {
+                self.silent_until = self.silent_until.max(self.now + f.length);
+            }
+            return;
+        }
+        for server in self.struck[index as usize].clone() {
+            let s = &mut self.servers[server as usize];
+            s.advance(self.now);
+            let effects = strike(s, f, index, step, self.now);
+            if let Some(silently) = effects.dies {
+                self.dies(server, silently);
+            }
+            if effects.mended {
+                self.reset_lost(server);
+            }
+            if effects.starts {
+                let born = self.now;
+                self.at(self.now + WARMING, Happening::Warming { server, born });
+            }
+            if effects.announce {
+                self.announce(server);
+            }
+            self.work_on(server);
+        }
+    }
+
+    /// A cold server was sent too much; it stays down.
+    fn goes_down(&mut self, server: u32) {
+        self.servers[server as usize].down += 1;
+        self.dies(server, false);
+        self.announce(server);
+    }
+
+    /// What a server's side of a cut swallowed is reset when the link is back.
+    fn reset_lost(&mut self, server: u32) {
+        let lost = |r: &Run| r.server == server && r.open && r.stage == Stage::Over;
+        let keys: Vec<_> = self.runs.iter().filter(|(_, r)| lost(r)).map(|(k, _)| k).collect();
+        let s = &mut self.servers[server as usize];
+        s.connections = s.connections.saturating_sub(keys.len() as u32);
+        for key in keys {
+            self.back(key, News::Ended(Status::Reset));
+        }
+    }
+
     /// Everything that a server holds is lost. Where it dies with a word, its connections are reset.
     pub(super) fn dies(&mut self, server: u32, silently: bool) {
         let s = &mut self.servers[server as usize];
--- a/crates/lab/src/sim/server.rs
+++ b/crates/lab/src/sim/server.rs
@@ -30,6 +30,17 @@
     pub warm_up: Micros,
 }
 
+/// What becomes of a job that comes to a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Offer {
+    /// It waits, or is in work.
+    Taken,
+    /// It is turned away unseen.
+    Full,
+    /// It was too much for a cold one; that part of it came from those who knew.
+    Fell(f64),
+}
+
 /// A server as it stands.
 #[derive(Debug)]
 pub struct Server {
@@ -131,7 +142,7 @@
     }
 
     /// What is in work and has nothing left, in the order of its start.
-    pub fn finished(&mut self) -> Vec<RunKey> {
+    fn finished(&mut self) -> Vec<RunKey> {
         let done = self.running.iter().filter(|r| r.1 <= DONE).map(|r| r.0).collect();
         self.running.retain(|r| r.1 > DONE);
         done
@@ -150,13 +161,13 @@
     }
 
     /// A job joins the queue.
-    pub fn push(&mut self, run: RunKey, work: f64) {
+    fn push(&mut self, run: RunKey, work: f64) {
         self.queued_work += work;
         self.queue.push_back((run, work));
     }
 
     /// The next waiting job goes to work, where there is a slot for it.
-    pub fn start_next(&mut self) -> Option<RunKey> {
+    fn start_next(&mut self) -> Option<RunKey> {
         if self.running.len() >= self.make.slots as usize {
             return None;
         }
@@ -198,7 +209,7 @@
 
     /// A cold one is sent that much work. If the sum over the window is more than so many times what it
     /// can do now: the part that came from those who were told of its start.
-    pub fn push_cold(
+    fn push_cold(
         &mut self,
         now: Micros,
         work: f64,
@@ -217,6 +228,29 @@
         (sum > most).then(|| known / sum)
     }
 
+    /// A job comes; `told` says whether its sender knows of this start. Nothing changes unless it is taken.
+    pub fn offer(&mut self, now: Micros, run: RunKey, work: f64, told: bool, fall: (f64, Micros)) -> Offer {
+        let pushed = if self.is_cold(now) { self.push_cold(now, work, told, fall) } else { None };
+        if let Some(share) = pushed {
+            return Offer::Fell(share);
+        }
+        if self.draining > 0 || !self.has_room() {
+            return Offer::Full;
+        }
+        self.advance(now);
+        self.push(run, work);
+        Offer::Taken
+    }
+
+    /// Bring it up to that time: what is done by then, and what was begun in its place.
+    pub fn step(&mut self, now: Micros) -> (Vec<RunKey>, Vec<RunKey>) {
+        self.advance(now);
+        let done = self.finished();
+        let begun = std::iter::from_fn(|| self.start_next()).collect();
+        self.turn += 1;
+        (done, begun)
+    }
+
     /// The share of jobs that it fails.
     pub fn fails(&self) -> f64 {
         1.0 - self.failing.iter().map(|f| 1.0 - f.1).product::<f64>()
