Lift the ceiling over a lone server, and keep decisions cheap at 10,000 servers

Cause: a node sent a server at most one job to a start's round trip, whatever ran there; and a pick walked past every server that waits for a start, 88 to 400 us a request at 10,000 servers whose starts come late.

Change: a server that runs many of our jobs may have a quarter as many on their way; records lie side by side and orders pass over waiting servers by the word; weights are computed once. Each node of a run on sockets has a discovery of its own, so that who was told what is known: with one for all, a test took a send of one node for another's.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -5,6 +5,7 @@
 //! "Redemptive Fair Queuing", Gulati and Varman, sections 3 and 4; departures are marked `Departure:`.
 
 use crate::api::*;
+use crate::fleet::{Candidates, Workers};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -33,7 +34,7 @@
     /// Running means: the running time of each class, the size of a request (slots times hint).
     work: Vec<f64>,
     size: f64,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: Workers,
     /// Changes of the list of workers, and jobs served, so far.
     version: u64,
     served: u64,
@@ -474,51 +475,52 @@
         };
         let known = self.known(lane);
         let most = 1.0 + HOME_ROOM * (l.in_flight as f64 + 1.0) / (l.near.len() + l.far.len()) as f64;
-        let homes = homes.map(|(key, few)| (&l.keys[&key].order, few, 1, most));
+        let homes = homes.map(|(key, few)| (Candidates::all(&l.keys[&key].order), few, 1, most));
         let plain = if self.set.tells_start { f64::MAX } else { most };
-        let (near, far) = ((&l.near, known, CANDIDATES, plain), (&l.far, known, CANDIDATES, plain));
         // With all suspected the judgement is in doubt, not the workers: any is taken.
         for doubtful in [false, true] {
-            let mut healthy = false;
+            let pass_over = self.set.tells_start && !doubtful;
+            let [near, far] = [&l.near, &l.far].map(|order| {
+                let some = if pass_over { order.free() } else { Candidates::all(order.ids()) };
+                (some, known, CANDIDATES, plain)
+            });
             let mut best: Option<(f64, WorkerId)> = None;
             let mut rng = self.rng.clone();
+            let least = held.job.work.min(self.mean_work());
             for (order, few, enough, most) in homes.into_iter().chain([near, far]) {
-                let (mut able, mut total) = (Vec::new(), 0.0);
+                let (mut able, mut total) = (Vec::with_capacity(4 * CANDIDATES), 0.0);
                 // From a random place on: what a pick costs must not grow with the fleet.
                 let few = few.min(order.len());
                 let from = rng.rand_range(0..few.max(1) as u64) as usize;
-                let turned = order[from..few].iter().chain(&order[..from]).chain(&order[few..]);
-                for (k, id) in turned.enumerate() {
-                    if (k >= few && able.len() >= enough) || able.len() >= 4 * CANDIDATES {
+                for (others, id) in order.turned(from, few) {
+                    if (others && able.len() >= enough) || able.len() >= 4 * CANDIDATES {
                         break;
                     }
-                    let w = &self.workers[id];
-                    let suspect = self.suspected(w, &held.job);
-                    healthy |= !suspect;
-                    let waits = self.set.tells_start && w.unstarted >= 1;
-                    let busy = waits || w.in_flight as f64 >= most;
-                    if w.full_until > self.now || (!doubtful && (suspect || busy)) {
+                    let w = &self.workers[&id];
+                    let busy = (pass_over && w.waits()) || w.in_flight as f64 >= most;
+                    let left_out = || busy || self.suspected(w, &held.job);
+                    if w.full_until > self.now || (!doubtful && left_out()) {
                         continue;
                     }
-                    let least = held.job.work.min(self.mean_work());
                     if self.in_scope(held, w) && self.cold_room(w).is_none_or(|room| room >= least) {
-                        total += weight(w);
-                        able.push(w);
+                        able.push((weight(w), w));
+                        total += able[able.len() - 1].0;
                     }
                 }
                 // By capacity: of many with no job of ours the least would always be the largest.
                 let draws = (0..CANDIDATES.min(able.len())).filter_map(|_| {
                     let mut left = rng.rand_float() * total;
                     let drawn = able.iter().find(|w| {
-                        left -= weight(w);
+                        left -= w.0;
                         left < 0.0
                     });
                     drawn.or(able.last())
                 });
-                let load = |w: &Worker| (w.in_flight as f64 + self.queued(w)) / weight(w);
-                let Some(w) = draws.min_by(|a, b| load(a).total_cmp(&load(b))) else { continue };
+                let loads =
+                    draws.map(|(weight, w)| ((w.in_flight as f64 + self.queued(w)) / weight, weight, w));
+                let Some((load, weight, w)) = loads.min_by(|a, b| a.0.total_cmp(&b.0)) else { continue };
                 // The job's own share counts half: it is in the way of what comes later alone.
-                let score = load(w) + 0.5 / weight(w);
+                let score = load + 0.5 / weight;
                 if best.is_none_or(|b| score < b.0) {
                     best = Some((score, w.member.worker));
                 }
@@ -526,7 +528,8 @@
                     break;
                 }
             }
-            if best.is_some() || healthy {
+            let mut all = l.near.ids().iter().chain(l.far.ids());
+            if best.is_some() || all.any(|id| !self.suspected(&self.workers[id], &held.job)) {
                 return best.map(|b| b.1);
             }
         }
@@ -556,6 +559,14 @@
         self.lanes[lane].level.ceil().max(CANDIDATES as f64) as usize
     }
 
+    /// Whether a worker waits for a start may have changed.
+    fn mark(&mut self, worker: WorkerId) {
+        let waits = self.workers.get(&worker).is_some_and(Worker::waits);
+        for order in self.lanes.iter_mut().flat_map(|l| [&mut l.near, &mut l.far]) {
+            order.mark(worker, waits);
+        }
+    }
+
     fn demote(&mut self, worker: WorkerId, lane: usize) {
         let known = self.known(lane);
         self.lanes[lane].demote(worker, known, &mut self.rng);
@@ -594,6 +605,7 @@
                 idle = 0;
             }
         }
+        self.mark(worker);
         let record = Attempt { worker, job, sent: self.now, started: None, stuck: false, idle };
         self.attempts.insert((id, attempt), record);
         if self.set.tells_start {
@@ -731,12 +743,13 @@
         if std::mem::take(&mut a.stuck) {
             self.lanes[a.job.lane].in_flight += 1;
         }
-        let (job, worker) = (a.job.clone(), a.worker);
+        let (job, worker, idle) = (a.job.clone(), a.worker, a.idle);
         let (wait, held) = (self.now - a.sent, a.sent - job.arrived);
         if let Some(w) = self.workers.get_mut(&worker) {
             w.unstarted = w.unstarted.saturating_sub(1);
         }
-        self.reaped.learn(self.now, a.idle, false, 2.0 * self.set.span());
+        self.mark(worker);
+        self.reaped.learn(self.now, idle, false, 2.0 * self.set.span());
         self.good(worker, &job, false);
         if self.stood == self.now {
             return;
@@ -890,6 +903,7 @@
         let mut unusable = false;
         if let Some(a) = self.attempts.remove(&(id, attempt)) {
             self.learn(&a, status);
+            self.mark(a.worker);
             let never_ran = self.never_ran(status);
             let mut rejected = None;
             if let Some(h) = self.requests.get_mut(&id) {
@@ -1036,7 +1050,7 @@
         self.subscribe_wait = self.set.tick.max(1);
         if whole {
             let listed: BTreeSet<WorkerId> = list.iter().map(|m| m.worker).collect();
-            let known: BTreeSet<WorkerId> = self.workers.keys().copied().collect();
+            let known: BTreeSet<WorkerId> = self.workers.values().map(|w| w.member.worker).collect();
             known.difference(&listed).for_each(|&w| self.unlist(w));
             if self.demand.born.is_none() && self.set.must_subscribe {
                 out.push(Action::Subscribe);
@@ -1055,7 +1069,7 @@
             }
             let (now, luck) = (self.now, self.rng.rand_float() * self.mean_work());
             let new = || Worker::new(member.clone(), luck, now);
-            let w = self.workers.entry(member.worker).or_insert_with(new);
+            let w = self.workers.get_or_insert(member.worker, new);
             if w.member.started != member.started {
                 (w.cold_tokens, w.cold_at, w.pace) = (luck, now, None);
                 self.doubts.remove(&About::Worker(member.worker));
@@ -1085,7 +1099,7 @@
     fn order(&mut self) {
         let (now, span) = (self.now, self.set.span() as Micros);
         let silent = |w: &Worker| w.unlisted.is_some_and(|at| now >= at.max(w.sign) + span);
-        self.workers.retain(|_, w| (w.member.standing != Standing::Gone && !silent(w)) || w.in_flight > 0);
+        self.workers.retain(|w| (w.member.standing != Standing::Gone && !silent(w)) || w.in_flight > 0);
         self.version += 1;
         let live = |w: &&Worker| w.member.standing == Standing::Live;
         self.scale = self.workers.values().filter(live).map(|w| w.member.scale).sum();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod balance;
+mod fleet;
 pub mod settings;
 mod state;
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,7 @@
 //! The records that the decision module in `src/balance.rs` keeps. Nothing is decided here.
 
 use crate::api::*;
+use crate::fleet::{Order, Workers};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A seeded source of random numbers.
@@ -71,32 +72,33 @@
     /// The live workers, each with its mark and size.
     pub ring: Vec<(WorkerId, u64, f32)>,
     /// The live workers of the own zone and the others, each in an order of our own.
-    pub near: Vec<WorkerId>,
-    pub far: Vec<WorkerId>,
+    pub near: Order,
+    pub far: Order,
 }
 
 impl Lane {
     /// Take in the live workers that run its jobs: who left is dropped, who came gets a place by
     /// chance.
-    pub fn renew(&mut self, workers: &BTreeMap<WorkerId, Worker>, zone: ZoneId, rng: &mut Random) {
+    pub fn renew(&mut self, workers: &Workers, zone: ZoneId, rng: &mut Random) {
         let fits = |m: &Member| m.standing == Standing::Live && self.kind.is_none_or(|k| k == m.kind);
         let live: Vec<&Member> = workers.values().map(|w| &w.member).filter(|m| fits(m)).collect();
         self.ring = live.iter().map(|m| (m.worker, m.mark, m.scale.max(0.001) as f32)).collect();
         for (order, own) in [(&mut self.near, true), (&mut self.far, false)] {
             let here = live.iter().filter(|m| own == (m.zone == zone)).map(|m| m.worker);
             let here: BTreeSet<WorkerId> = here.collect();
-            order.retain(|id| here.contains(id));
-            let there: BTreeSet<WorkerId> = order.iter().copied().collect();
+            let mut ids: Vec<WorkerId> = order.ids().iter().copied().filter(|id| here.contains(id)).collect();
+            let there: BTreeSet<WorkerId> = ids.iter().copied().collect();
             for &id in here.difference(&there) {
-                order.push(id);
-                let n = order.len();
-                order.swap(n - 1, rng.rand_range(0..n as u64) as usize);
+                ids.push(id);
+                let n = ids.len();
+                ids.swap(n - 1, rng.rand_range(0..n as u64) as usize);
             }
+            order.set(ids, |id| workers[&id].waits());
         }
     }
     /// What starts take now where they take least, in or out of the zone.
     pub fn least_wait(&self) -> f64 {
-        if self.far.is_empty() {
+        if self.far.len() == 0 {
             self.wait[0]
         } else {
             self.wait[0].min(self.wait[1])
@@ -105,9 +107,8 @@
     /// A worker gives up its place among the known to one of the others.
     pub fn demote(&mut self, worker: WorkerId, known: usize, rng: &mut Random) {
         for order in [&mut self.near, &mut self.far] {
-            let place = order.iter().take(known).position(|w| *w == worker);
             let n = order.len();
-            if let Some(k) = place.filter(|_| n > known) {
+            if let Some(k) = order.place(worker).filter(|k| *k < known && n > known) {
                 order.swap(k, rng.rand_range(known as u64..n as u64) as usize);
             }
         }
@@ -354,6 +355,12 @@
 }
 
 impl Worker {
+    /// Whether a job of ours there has to start before the next is sent: a start tells that there was room.
+    /// Where many of ours run, a quarter as many may be on their way, or one server's start's round trip would
+    /// bound what it is sent; one that has only room for a few gets them one by one.
+    pub fn waits(&self) -> bool {
+        self.unstarted > self.in_flight.saturating_sub(self.unstarted) / 4
+    }
     /// One that was just listed.
     pub fn new(member: Member, cold_tokens: f64, now: Micros) -> Self {
         Worker {
--- a/crates/core/tests/further.rs
+++ b/crates/core/tests/further.rs
@@ -498,3 +498,34 @@
         rig.ended(id, 0, Status::Ok);
     }
 }
+
+/// A server that runs many of our jobs gets a quarter as many before the last has started, or a start's round trip
+/// would bound what it is sent; one that runs few gets them one by one, as it may have no room for a second.
+#[test]
+fn one_that_runs_many_of_ours_gets_several_at_a_time() {
+    let mut rig = Rig::new(settings(), 1);
+    let mut waiting: Vec<u64> = Vec::new();
+    for id in 1..=80 {
+        waiting.extend(sends(&rig.ask(id, 0)).iter().map(|s| s.0));
+    }
+    assert_eq!(waiting.len(), 1, "none has started yet");
+    let mut running: Vec<u64> = Vec::new();
+    let mut most = 0;
+    // The window grows with what starts in time; then some end, and others take their places.
+    for step in 0..60 {
+        let more = if step < 24 || step % 2 == 0 {
+            running.push(waiting.remove(0));
+            rig.started(running[running.len() - 1])
+        } else {
+            let id = running.remove(0);
+            rig.ended(id, 0, Status::Ok)
+        };
+        waiting.extend(sends(&more).iter().map(|s| s.0));
+        let on_their_way = waiting.len();
+        assert!(on_their_way <= running.len() / 4 + 1, "{on_their_way} with {} running", running.len());
+        most = most.max(on_their_way);
+    }
+    assert!(most >= 4, "{most} on their way at most");
+    // 'Full' stops it, whatever runs there.
+    assert!(sends(&rig.ended(waiting[0], 0, Status::Full)).is_empty());
+}
--- a/crates/lab/src/load/clients.rs
+++ b/crates/lab/src/load/clients.rs
@@ -24,7 +24,7 @@
 type Connection = SendRequest<Full<Bytes>>;
 
 /// What the clients of all nodes have.
-struct Clients {
+pub(super) struct Clients {
     rig: Rc<Rig>,
     addresses: Vec<SocketAddr>,
     /// Connections to each node on which nothing is out.
@@ -32,14 +32,21 @@
     ids: Cell<u64>,
 }
 
+impl Clients {
+    /// Those of nodes at these addresses.
+    pub(super) fn new(rig: &Rc<Rig>, addresses: &[SocketAddr]) -> Rc<Clients> {
+        Rc::new(Clients {
+            rig: rig.clone(),
+            addresses: addresses.to_vec(),
+            idle: addresses.iter().map(|_| RefCell::default()).collect(),
+            ids: Cell::new(0),
+        })
+    }
+}
+
 /// Send everything that the scenario asks for, and wait for what becomes of it.
 pub async fn drive(rig: &Rc<Rig>, addresses: &[SocketAddr]) {
-    let clients = Rc::new(Clients {
-        rig: rig.clone(),
-        addresses: addresses.to_vec(),
-        idle: addresses.iter().map(|_| RefCell::default()).collect(),
-        ids: Cell::new(0),
-    });
+    let clients = Clients::new(rig, addresses);
     let tenants = (0..rig.sc.tenants.len()).map(|tenant| tenant_asks(clients.clone(), tenant));
     join_all(tenants).await;
 }
@@ -112,7 +119,7 @@
 }
 
 /// One try: the answer, and when the client was told to come back.
-async fn attempt(
+pub(super) async fn attempt(
     clients: &Rc<Clients>,
     job: &Job,
     what: (u32, u32, bool),
--- a/crates/lab/src/load/discovery.rs
+++ b/crates/lab/src/load/discovery.rs
@@ -4,6 +4,7 @@
 use super::stand::{streamed, whole, Answer, Feed};
 use super::Rig;
 use crate::sim::draw::{between, stream, Purpose};
+use crate::sim::faults::member;
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -22,20 +23,17 @@
 /// A watch that has nothing to say says an empty line this often.
 const BEAT: Duration = Duration::from_secs(2);
 
-/// Serve the list on an address of its own.
-pub async fn listen(rig: &Rc<Rig>) -> std::io::Result<SocketAddr> {
+/// Serve the list to one node, on an address of its own: who was told what must be known.
+pub async fn listen(rig: &Rc<Rig>, node: u32) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let rig = rig.clone();
     spawn_local(async move {
-        let mut watches = 0;
         while let Ok((stream, _)) = listener.accept().await {
-            // Watches come from the nodes in the order in which these were started.
-            let number = watches;
-            watches += 1;
             let rig = rig.clone();
+            let _ = stream.set_nodelay(true);
             spawn_local(async move {
-                let service = service_fn(move |request| answer(rig.clone(), request, number));
+                let service = service_fn(move |request| answer(rig.clone(), request, node));
                 let served = hyper::server::conn::http1::Builder::new();
                 // A node that goes away ends it, which is no concern of anyone.
                 let _ = served.serve_connection(TokioIo::new(stream), service).await;
@@ -52,16 +50,15 @@
 async fn answer(rig: Rc<Rig>, request: Request<Incoming>, node: u32) -> Result<Response<Answer>, Infallible> {
     let known = rig.news.borrow().len();
     let list = line(known + 1, true, &entries(&rig));
+    for (server, s) in rig.servers.borrow().iter().enumerate() {
+        let m = member(&rig.sc, server as u32, s);
+        rig.checker.borrow_mut().told(node, m.worker.0, m.standing == Standing::Live, m.started, rig.now());
+    }
     if !request.uri().query().unwrap_or("").contains("watch=1") {
         return Ok(whole(StatusCode::OK, list));
     }
     let (feed, response) = streamed();
     let _ = feed.send(Ok(Frame::data(list)));
-    for m in
-        rig.servers.borrow().iter().enumerate().map(|(k, s)| crate::sim::faults::member(&rig.sc, k as u32, s))
-    {
-        rig.checker.borrow_mut().told(node, m.worker.0, m.standing == Standing::Live, m.started, rig.now());
-    }
     spawn_local(watch(rig, node, known, feed));
     Ok(response)
 }
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -7,6 +7,7 @@
 
 mod clients;
 mod discovery;
+pub mod lone;
 mod nodes;
 mod stand;
 
@@ -193,8 +194,7 @@
     // The models' clock begins when the nodes are ready; until then the fleet stands still.
     let rig = Rig::new(sc);
     let ends = stand::listen(&rig).await?;
-    let discovery = discovery::listen(&rig).await?;
-    let nodes = nodes::start(&rig, program, discovery).await?;
+    let nodes = nodes::start(&rig, program).await?;
     rig.origin.set(Instant::now());
     stand::begin(&rig, ends);
     let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.address).collect();
--- a/crates/lab/src/load/nodes.rs
+++ b/crates/lab/src/load/nodes.rs
@@ -1,6 +1,6 @@
 //! The nodes: the real program, one process each, by a configuration made from the scenario.
 
-use super::{LoadError, Rig};
+use super::{discovery, LoadError, Rig};
 use crate::sim::draw::{stream, Purpose};
 use crate::sim::faults::member;
 use rand::RngExt;
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
+use std::rc::Rc;
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -91,12 +92,13 @@
 }
 
 /// Start all nodes and wait until they serve.
-pub async fn start(rig: &Rig, program: &Path, discovery: SocketAddr) -> Result<Vec<Node>, LoadError> {
+pub async fn start(rig: &Rc<Rig>, program: &Path) -> Result<Vec<Node>, LoadError> {
     let mut nodes = Vec::new();
     for node in 0..rig.sc.nodes {
         let fail = |why: String| LoadError::Node { program: program.to_path_buf(), why };
         let dir = tempfile::Builder::new().prefix("lab").tempdir()?;
         let path = dir.path().join("config.json");
+        let discovery = discovery::listen(rig, node).await?;
         std::fs::write(&path, config(rig, node, discovery).to_string())?;
         let mut child = Command::new(program)
             .args(["serve", "--config"])
--- a/crates/lab/src/load/stand.rs
+++ b/crates/lab/src/load/stand.rs
@@ -103,6 +103,8 @@
 }
 
 async fn connection(rig: Rc<Rig>, server: usize, stream: TcpStream) {
+    // Without it a start would wait for the acknowledgement of the head before it, 40 ms and more.
+    let _ = stream.set_nodelay(true);
     let mut deaths = rig.deaths[server].subscribe();
     rig.servers.borrow_mut()[server].connections += 1;
     let fresh = Rc::new(Cell::new(true));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Print a line; a reader that has left is no reason to panic.
 macro_rules! say {
@@ -139,6 +140,21 @@
         #[bpaf(positional("SCENARIO"), some("name a scenario"))]
         files: Vec<PathBuf>,
     },
+    /// Measure what a node makes of one server that answers any number of jobs, against the server itself
+    #[bpaf(command)]
+    Lone {
+        #[bpaf(external)]
+        program: PathBuf,
+        /// Clients that send one request after the other
+        #[bpaf(long, argument("N"), fallback(64), display_fallback)]
+        clients: u32,
+        /// Seconds each way
+        #[bpaf(long, argument("N"), fallback(10), display_fallback)]
+        seconds: u64,
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+    },
     /// Check scenarios and experiments and say what is wrong with them
     #[bpaf(command)]
     Check {
@@ -478,6 +494,19 @@
             let good = apart.iter().all(|a| a.difference.abs() <= within && !a.late && a.broken == 0);
             return Ok(if good { ExitCode::SUCCESS } else { ExitCode::from(2) });
         }
+        Command::Lone { program, clients, seconds, json } => {
+            let lone = load::lone::measure(&program, clients, Duration::from_secs(seconds))?;
+            if json {
+                say!("{}", serde_json::to_string(&lone)?);
+            } else {
+                let denied = 100.0 * lone.denied;
+                say!(
+                    "{:.0} jobs/s straight, {:.0} through the node, {denied:.2}% denied",
+                    lone.direct,
+                    lone.through
+                );
+            }
+        }
         Command::Check { files } => {
             let mut wrong = false;
             for file in &files {
--- a/crates/sexp/src/splice.rs
+++ b/crates/sexp/src/splice.rs
@@ -19,14 +19,22 @@
     (before + at.column()).min(text.len())
 }
 
-fn head(list: &Ref) -> Option<String> {
-    let (car, _) = list.value().as_pair()?;
-    car.as_symbol().or(car.as_str()).map(str::to_string)
+fn word(value: &lexpr::Value) -> Option<&str> {
+    value.as_symbol().or(value.as_str())
+}
+
+/// Whether a list begins with that name, or with `NAME:WORD` begins with both.
+fn is_named(list: &Ref, name: &str) -> bool {
+    let (name, second) = name.split_once(':').map_or((name, None), |(n, s)| (n, Some(s)));
+    let mut items = list.list_iter().into_iter().flatten();
+    let first = items.next().is_some_and(|i| word(i.value()) == Some(name));
+    first && second.is_none_or(|s| items.next().is_some_and(|i| word(i.value()) == Some(s)))
 }
 
 /// The text with what follows the name of the list at that path replaced. `path` names lists from the
 /// outermost's children inwards: with `["servers", "count"]` and `20`, `(x (servers (count 10)))` becomes
-/// `(x (servers (count 20)))`. The last list is added where there is none, and so is what it stands in.
+/// `(x (servers (count 20)))`. What is not there is added.
+/// Where several lists have one name, `tenant:b` is the one that begins with `tenant b`.
 ///
 /// # Errors
 /// [`SpliceError`]: the text can't be read, or the path is empty.
@@ -35,8 +43,11 @@
     let mut list = datum.as_ref();
     let mut rest = path;
     while let [name, inner @ ..] = rest {
-        let found = list.list_iter().into_iter().flatten().find(|i| head(i).as_deref() == Some(name));
+        let found = list.list_iter().into_iter().flatten().find(|i| is_named(i, name));
         let Some(found) = found else {
+            if name.contains(':') {
+                return Err(SpliceError::NoSuchList(rest.join(" ")));
+            }
             // Before the closing bracket of the innermost list that is there.
             let end = offset(text, list.span().end()).saturating_sub(1);
             if !text.is_char_boundary(end) || !text[end..].starts_with(')') {
@@ -50,6 +61,7 @@
     }
     let Some(name) = path.last() else { return Err(SpliceError::NoSuchList(String::new())) };
     let (start, end) = (offset(text, list.span().start()), offset(text, list.span().end()));
+    let name = name.replace(':', " ");
     Ok(format!("{}({name} {value}){}", &text[..start], &text[end..]))
 }
 
@@ -63,6 +75,11 @@
         let changed = set(text, &["servers", "count"], "20").unwrap();
         assert_eq!(changed, text.replace("(count 10)", "(count 20)"));
         assert_eq!(set(text, &["name"], "b").unwrap(), text.replace("(name \"æ\")", "(name b)"));
+        let two = "(day (tenant a (quota 1)) (tenant b (quota 2)))";
+        let changed = set(two, &["tenant:b", "quota"], "9").unwrap();
+        assert_eq!(changed, "(day (tenant a (quota 1)) (tenant b (quota 9)))");
+        assert_eq!(set(two, &["tenant:b"], "(x)").unwrap(), "(day (tenant a (quota 1)) (tenant b (x)))");
+        assert_eq!(set(two, &["tenant:c"], "").unwrap_err(), SpliceError::NoSuchList("tenant:c".into()));
         let added = set(text, &["servers", "cold"], "0.2").unwrap();
         assert_eq!(added, text.replace("(queue 8)", "(queue 8) (cold 0.2)"));
         let both = set(text, &["arrivals", "rate"], "5").unwrap();
--- /dev/null
+++ b/examples/lab/study-10000.sexp
@@ -0,0 +1,21 @@
+; The module beside every comparator, through six kinds of day, at 10000 servers.
+(experiment
+  (name study-10000)
+  (scenario "calm.sexp")
+  (set length 10 s)
+  (set servers.count 10000)
+  (set nodes.count 40)
+  (set arrivals.rate 50000)
+  (set tenant:fyn-gartnerier.quota 47000)
+  (set tenant:sjaelland-syd.quota 13000)
+  (vary fault (over
+    (silence (at 0 s) (for 1 ms))
+    (neighbour (at 3 s) (for 6 s) (part 0.4) (size 0.5) (every 2 s))
+    (flood (at 3 s) (for 6 s) (tenant sjaelland-syd) (size 5))
+    (slow (at 3 s) (for 6 s) (size 2))
+    (shrink (at 3 s) (for 30 s) (part 0.4) (drain 2 s))
+    (zone-loss (at 3 s) (for 30 s) (zone vejle))))
+  (vary policy (over rfq random round-robin least-of-two peak-ewma wfq-window gradient clairvoyant))
+  (replications 2)
+  (seed 1)
+  (show score service p99 broken))
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -47,6 +47,8 @@
 fn serve_jobs(stream: TcpStream) -> std::io::Result<()> {
     let mut to = stream.try_clone()?;
     let mut from = BufReader::new(stream);
+    // Or the second line of an answer would wait until the first is acknowledged, 40 ms and more.
+    to.set_nodelay(true)?;
     while let Some((first, id, body)) = request(&mut from)? {
         println!("job {id}: {} with {} bytes", first.trim_end(), body.len());
         to.write_all(BEGIN)?;
