Keep the window open where many nodes share a server

Lane::widen_to gave each node servers/nodes jobs, and late starts, which are other nodes' load, narrowed all windows together.

Change: the least window is twice the nodes to a server where nodes outnumber servers (3.3 at 100 and 60); with fewer nodes than servers nothing changes.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -122,9 +122,12 @@
         self.keys.entry(key).or_default().asked.add(now, span, size);
     }
     /// The least window, and the first: each worker can do one job at a time, and so many
-    /// schedulers share them; two in any case.
+    /// schedulers share them; two in any case. With more schedulers than workers it grows with their
+    /// number: what one of them sees is the others' load, which its own window can't relieve, and
+    /// with all windows narrowed together jobs would be held while workers stand idle.
     pub fn widen_to(&mut self, instances: u32) {
-        self.window = self.window.max(self.ring.len() as f64 / instances.max(1) as f64).max(2.0);
+        let (workers, instances) = (self.ring.len().max(1) as f64, instances.max(1) as f64);
+        self.window = self.window.max(workers / instances).max(2.0 * (instances / workers).max(1.0));
     }
 }
 
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -168,3 +168,20 @@
     }
     assert!(cancelled > 0 && cancelled < 12, "{cancelled}");
 }
+
+/// With more schedulers than workers late starts are others' doing: three jobs at once still leave.
+#[test]
+fn a_window_stays_open_where_a_worker_is_shared_by_many_schedulers() {
+    let sent_at_once = |instances| {
+        let mut rig = Rig::new(Settings { instances, ..settings() }, 60);
+        for id in 0..40 {
+            rig.ask(id, 0);
+            rig.pass(200 * MS);
+            rig.started(id);
+            rig.ended(id, 0, Status::Ok);
+        }
+        (100..140).map(|id| sends(&rig.ask(id, 0)).len()).sum::<usize>()
+    };
+    assert_eq!(sent_at_once(100), 4);
+    assert_eq!(sent_at_once(60), 2);
+}
