--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -110,6 +110,13 @@
     pub quota_per_s: f64,
 }
 
+impl Status {
+    /// The worker has answered, so its connection can be used again.
+    pub fn answered(self) -> bool {
+        matches!(self, Status::Ok | Status::Full | Status::Error | Status::Rejected)
+    }
+}
+
 /// A ration of attempts beyond each request's first, counted over a sliding span.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ration {
@@ -128,8 +135,6 @@
     pub instances: u32,
     /// Processes that are this scheduler at present, which share its rations; 0 counts as 1.
     pub parts: u32,
-    /// The number of this one among them, from 0.
-    pub rank: u32,
     /// The zone of this scheduler.
     pub zone: ZoneId,
     /// Events are handed over at most this often.
@@ -146,8 +151,6 @@
     pub tells_start: bool,
     /// Attempts can be called off.
     pub cancel: bool,
-    /// Schedulers of the tier can send each other short messages.
-    pub peers: bool,
     /// [`Member::scale`] is a worker's capacity, its speed counted; otherwise only its size, roughly.
     pub scale_is_capacity: bool,
     /// Clients are told how long to stay away.
@@ -170,8 +173,10 @@
     pub full_may_have_run: bool,
     /// Price of an attempt that crosses zones, in parts of a request's worth.
     pub cross_zone_price: f64,
-    /// Price of fetching what a request's key stands for, in parts of a request's worth.
-    pub fetch_price: f64,
+    /// Workers may be probed.
+    pub probes: bool,
+    /// Price of a probe, in parts of a request's worth.
+    pub probe_price: f64,
     /// Further attempts are rationed.
     pub ration: Option<Ration>,
     /// Only a worker listed as draining is closed to new work; one that is gone or left out of the
@@ -266,6 +271,15 @@
     Moot,
 }
 
+/// What a worker tells of itself: late, and a little noisy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Slots that are free.
+    pub free: Option<f64>,
+    /// Jobs it has, in work or queued.
+    pub held: Option<f64>,
+}
+
 /// Something that the scheduler learned.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -321,15 +335,20 @@
         /// Its place.
         place: usize,
     },
+    /// A probe has ended: [`Status::Ok`] where the worker has served it, [`Status::Full`] where it turned
+    /// it away.
+    Probed {
+        /// The worker.
+        worker: WorkerId,
+        /// How it ended.
+        status: Status,
+        /// What the worker holds, where it tells.
+        report: Report,
+    },
     /// Other settings hold from now on.
     Retune(Box<Retuned>),
     /// A wake-up asked for by [`Action::Wake`].
     Wake,
-    /// Another scheduler of the tier has sent a message.
-    Told {
-        /// What it sent.
-        words: Vec<u8>,
-    },
 }
 
 /// Something that the scheduler is to do. Attempts of a request count from 0 in the order sent.
@@ -366,12 +385,10 @@
         /// From now.
         after: Micros,
     },
-    /// Send a message to one other scheduler of the tier; it may be lost.
-    Tell {
-        /// Its number.
-        to: u32,
-        /// What to send, at most 256 bytes.
-        words: Vec<u8>,
+    /// Ask a worker how busy it is; [`Event::Probed`] brings its answer.
+    Probe {
+        /// The worker.
+        worker: WorkerId,
     },
     /// Close the idle connections to a worker.
     CloseIdle {
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -11,16 +11,20 @@
 
 /// Random workers compared for each send, in the own zone and again outside it.
 const CANDIDATES: usize = 3;
-/// Schedulers that each message about tenants goes to.
-const RECIPIENTS: u32 = 3;
+/// Workers probed at a time before a send, for how long, and how often more are.
+const ASKED: usize = 2;
+const ASK_WAIT: Micros = 15_000;
+const ASK_ROUNDS: u32 = 2;
+/// What a probe is held to cost a worker, its connection counted in.
+const PROBE_WORK: f64 = 4_000.0;
 /// Weight of the newest sample in running means of work, pace and waits.
 const BLEND: f64 = 0.1;
-/// Keys of which a record is kept; one more and all are learned anew.
+/// Keys, and others, that may be in doubt at a time.
 const MOST_KEYS: usize = 4096;
 /// The share lost that the price of another zone is set against, if less is lost.
 const LEAST_LOST: f64 = 0.05;
-/// Room of a key's workers over what its share of the traffic needs of them.
-const HOME_ROOM: f64 = 4.0;
+/// Room, where starts are not told, of a worker over its part of the jobs in flight.
+const ROOM: f64 = 4.0;
 
 /// One scheduler's decisions. Feed it every event in order; it appends what to do.
 #[derive(Debug, Default)]
@@ -35,8 +39,7 @@
     work: Vec<f64>,
     size: f64,
     workers: Workers,
-    /// Changes of the list of workers, and jobs served, so far.
-    version: u64,
+    /// Jobs served so far.
     served: u64,
     /// Scale of all live workers; mean pace of each kind.
     scale: f64,
@@ -90,7 +93,6 @@
             }
             Event::Request(request) => self.arrive(request, out),
             Event::Started { id, attempt } | Event::StreamBegan { id, attempt } => self.started(id, attempt),
-            Event::Told { words } => self.demand.hear(&words),
             Event::Progress { .. } => {}
             Event::IdleClosed { worker, place } => {
                 let idle = self.workers.get_mut(&worker).map(|w| &mut w.idle).filter(|i| !i.is_empty());
@@ -101,6 +103,7 @@
             Event::Outcome { id, attempt, status, settled } => {
                 self.outcome(id, attempt, status, settled, out)
             }
+            Event::Probed { worker, status, report } => self.probed(worker, status, report, out),
             Event::Retune(renewed) => self.retune(*renewed),
             Event::Gone(id) => self.over(id, true),
             Event::Wake if self.armed.is_some_and(|at| at <= now) => self.armed = None,
@@ -162,9 +165,13 @@
                 self.answer_without_service(id, out)
             }
             Wake::Answer(_) | Wake::Room => {}
+            Wake::Asked(id, round) => {
+                if self.requests.get(&id).is_some_and(|h| h.round == round) {
+                    self.ask(id, out)
+                }
+            }
             Wake::Stuck(id, attempt) => self.stuck(id, attempt, out),
             Wake::Subscribe => out.push(Action::Subscribe),
-            Wake::Tell => self.tell(out),
         }
     }
 
@@ -173,21 +180,14 @@
     /// The rate of a tenant's bucket: its share of the own completion rate, or of a full window's.
     fn rho(&self, lane: usize, tenant: usize) -> f64 {
         if let Some(t) = self.set.tenants.get(tenant).filter(|t| t.quota_per_s > 0.0) {
-            // Departure: rho is this scheduler's part of the tenant's quota, by what it and, where
-            // they may tell, the others are asked. Where they may not, the part is even, or what the
-            // middle one of the tenants asks here of its quota, if more: a busy scheduler is busy
-            // with most of them, and a flood of one tenant is none of them.
-            let (own, peers) = (self.asked_rate(tenant), (self.set.instances.max(1) - 1) as f64);
-            let part = if self.set.peers {
-                own / (own + self.demand.others[tenant] * peers).max(1e-12)
-            } else {
-                let quotas = self.set.tenants.iter().enumerate().filter(|(_, t)| t.quota_per_s > 0.0);
-                let mut asked: Vec<f64> =
-                    quotas.map(|(k, t)| self.asked_rate(k) * 1e6 / t.quota_per_s).collect();
-                asked.sort_unstable_by(f64::total_cmp);
-                asked[asked.len() / 2].clamp(1.0 / (peers + 1.0), 1.0)
-            };
-            return part.max(0.01 / (peers + 1.0)) * t.quota_per_s / 1e6 * self.size;
+            // Departure: rho is this scheduler's part of the tenant's quota: an even one, or what the
+            // middle one of the tenants asks here of its quota, if more. A busy scheduler is busy with
+            // most of them, and a flood of one tenant is none of them.
+            let quotas = self.set.tenants.iter().enumerate().filter(|(_, t)| t.quota_per_s > 0.0);
+            let mut asked: Vec<f64> = quotas.map(|(k, t)| self.asked_rate(k) * 1e6 / t.quota_per_s).collect();
+            asked.sort_unstable_by(f64::total_cmp);
+            let part = asked[asked.len() / 2].clamp(1.0 / self.set.instances.max(1) as f64, 1.0);
+            return part * t.quota_per_s / 1e6 * self.size;
         }
         let l = &self.lanes[lane];
         let total: f64 = self.set.tenants.iter().map(|t| t.share.max(0.0)).sum();
@@ -202,33 +202,14 @@
     /// First tries of a tenant here, by the microsecond, since the start or over the span.
     fn asked_rate(&self, tenant: usize) -> f64 {
         let (span, age) = (self.set.span(), (self.now - self.demand.born.unwrap_or(self.now)) as f64);
-        let seen = (1.0 - (-age / span).exp()).max(self.tell_every() as f64 / span);
+        let seen = (1.0 - (-age / span).exp()).max(self.eighth() as f64 / span);
         self.demand.asked[tenant].per_micro(self.now, span) / seen
     }
 
-    fn tell_every(&self) -> Micros {
+    fn eighth(&self) -> Micros {
         self.set.span() as Micros / 8
     }
 
-    /// Tell a few random others the rates that tenants ask for, own and heard mixed; so messages grow
-    /// with the number of schedulers, not its square.
-    fn tell(&mut self, out: &mut Vec<Action>) {
-        let peers = self.set.instances - 1;
-        // All is own where everybody hears everybody, and a quarter at least, or news would crawl.
-        let own =
-            if self.demand.heard > 0 { (RECIPIENTS as f64 / peers as f64).clamp(0.25, 1.0) } else { 1.0 };
-        let mixed = |(t, o): (usize, &f64)| (own * self.asked_rate(t) + (1.0 - own) * o) as f32;
-        // A message holds 256 bytes; tenants beyond 64 keep the rho of a site without messages.
-        let rates = self.demand.others.iter().enumerate().take(64).map(mixed);
-        let words: Vec<u8> = rates.flat_map(f32::to_le_bytes).collect();
-        let first = self.rng.rand_range(0..peers as u64) as u32;
-        for k in 0..RECIPIENTS.min(peers) {
-            let to = (first + k * (peers / RECIPIENTS).max(1)) % peers;
-            out.push(Action::Tell { to: to + u32::from(to >= self.set.rank), words: words.clone() });
-        }
-        self.wakes.insert((self.now + self.tell_every(), Wake::Tell));
-    }
-
     fn mean_work(&self) -> f64 {
         self.work.iter().sum::<f64>() / self.work.len().max(1) as f64
     }
@@ -264,9 +245,6 @@
         let due = (self.now - gone + wanted).min(deadline);
         let span = self.set.span();
         self.demand.asked[tenant].add(self.now, span, f64::from(u8::from(!r.repeat)));
-        if let Some(key) = r.key.filter(|_| self.set.fetch_price > 0.0) {
-            self.lanes[lane].count(key, self.now, span, size, MOST_KEYS);
-        }
         let newest = self.lanes[lane].buckets[tenant].max_start;
         let (hint, arrived, excess) = (r.hint.is_some(), self.now, false);
         let (class, key) = (r.class, r.key);
@@ -278,15 +256,14 @@
         let (start, finish) = self.tag(lane, tenant, size, wanted);
         job.excess = tenant < self.set.tenants.len() && start > self.now + self.lanes[lane].offset;
         let most = self.most_attempts();
-        let (attempts, sent, queued, ran, rejected) = (0, false, false, None, None);
-        let held = Held { job, start, finish, attempts, most, out: sent, queued, ran, rejected };
+        let held = Held::new(job, start, finish, most);
         self.requests.insert(r.id, held);
         self.wakes.insert((deadline - self.set.tick.max(1_000), Wake::Answer(r.id)));
         // Departure: where most clients leave early it is held no longer than they stay. A few do
         // anywhere; the others must not be refused for them at the door.
         let part = if self.patience.leave > 0.5 { self.patience.stay } else { 1.0 };
         let until = self.now + ((due - self.now) as f64 * part) as Micros;
-        let wait = self.lanes[lane].least_wait() as Micros;
+        let wait = if self.probes(lane) { 0 } else { self.lanes[lane].least_wait() as Micros };
         self.wakes.insert((until - work as Micros - wait, Wake::Answer(r.id)));
         self.queue(r.id);
         self.release(lane, out);
@@ -335,6 +312,13 @@
         l.ahead.insert((held.start, id));
     }
 
+    /// No worker is probed for it any longer.
+    fn unask(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        self.lanes[held.job.lane].in_flight -= u32::from(held.round > 0);
+        held.unask();
+    }
+
     fn unqueue(&mut self, id: RequestId) {
         let Some(held) = self.requests.get_mut(&id).filter(|h| h.queued) else { return };
         held.queued = false;
@@ -386,10 +370,86 @@
                 self.answer_without_service(id, out);
                 continue;
             }
-            let homes = self.homes(lane, self.requests[&id].job.key);
-            let Some(worker) = self.pick(&self.requests[&id], lane, homes) else { return };
+            let Some(worker) = self.pick(&self.requests[&id], lane) else { return };
             self.unqueue(id);
+            if self.probes(lane) {
+                self.lanes[lane].in_flight += 1;
+                self.ask(id, out);
+            } else {
+                self.send(id, worker, out);
+            }
+        }
+    }
+
+    /// Departure: with more schedulers than workers own jobs say nothing of a worker's queue. Before a
+    /// send a few workers are probed, while that costs less than is lost; the first with a free slot
+    /// gets the job. Guards against sends at random to queues that others have filled.
+    fn probes(&self, lane: usize) -> bool {
+        let worth = || ASKED as f64 * self.set.probe_price <= self.lost(lane).max(LEAST_LOST);
+        self.set.probes && self.set.instances as usize > self.lanes[lane].live && worth()
+    }
+
+    /// The next round of probes for a request; after the last, the least busy of those probed gets it.
+    fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        held.round += 1;
+        let (lane, round) = (held.job.lane, held.round);
+        self.wakes.insert((self.now + ASK_WAIT, Wake::Asked(id, round)));
+        if round <= ASK_ROUNDS {
+            for _ in 0..ASKED {
+                let Some(worker) = self.pick(&self.requests[&id], lane) else { break };
+                self.rng.rand_u64(); // the pick drew from a copy
+                self.cold_spend(worker, PROBE_WORK);
+                let asks = self.workers.get_mut(&worker).zip(self.requests.get_mut(&id));
+                asks.into_iter().for_each(|(w, held)| w.probe(held, id));
+                out.push(Action::Probe { worker });
+            }
+            return;
+        }
+        let held = &self.requests[&id];
+        let told = |id: &WorkerId| {
+            let w = self.workers.get(id).filter(|w| self.takes(w, held, false))?;
+            Some(((w.report.held? - 1.0).max(0.0) / (self.pace(w) * self.cold_part(w)), *id))
+        };
+        let least = held.asked.iter().filter_map(told).min_by(|a, b| a.0.total_cmp(&b.0));
+        let wait = least.map_or(0.0, |l| l.0 * self.mean_work() / 2.0);
+        if least.is_some() && self.now + (wait + held.job.work) as Micros > held.job.due {
+            self.answer_without_service(id, out);
+        } else if let Some(worker) = least.map(|l| l.1).or_else(|| self.pick(held, lane)) {
+            self.send(id, worker, out);
+        }
+    }
+
+    /// Whether a request may go to that worker now.
+    fn takes(&self, w: &Worker, held: &Held, doubtful: bool) -> bool {
+        let least = || held.job.work.min(self.mean_work());
+        w.member.standing == Standing::Live
+            && w.full_until <= self.now
+            && (doubtful || !self.suspected(w, &held.job))
+            && self.in_scope(held, w)
+            && self.cold_room(w).is_none_or(|room| room >= least())
+    }
+
+    /// What a worker tells. With a free slot it gets the job that it was probed for.
+    fn probed(&mut self, worker: WorkerId, status: Status, report: Report, out: &mut Vec<Action>) {
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.report = report;
+        if status.answered() {
+            w.idle.push(self.now);
+        }
+        let Some(id) = w.asked.take() else { return };
+        let Some(job) = self.requests.get(&id).map(|h| h.job.clone()) else { return };
+        if matches!(status, Status::ConnectFailed | Status::Reset | Status::Timeout) {
+            self.bad(worker, &job, None, false);
+        }
+        let Some(held) = self.requests.get_mut(&id).filter(|h| h.round > 0) else { return };
+        held.unheard = held.unheard.saturating_sub(1);
+        let none = held.unheard == 0;
+        let free = status == Status::Ok && report.free.is_some_and(|f| f > 0.5);
+        if free && self.takes(&self.workers[&worker], &self.requests[&id], false) {
             self.send(id, worker, out);
+        } else if none {
+            self.ask(id, out);
         }
     }
 
@@ -433,29 +493,11 @@
 
     // --------------------------------------------------------------- pick
 
-    /// Departure: where a fetch has a price, candidates for a keyed job are the first workers of the
-    /// key's own order, the same at every scheduler (rendezvous hashing, weighed by size): as many as
-    /// its share of the traffic keeps busy. So few workers fetch it, and a hot key spreads.
-    fn homes(&mut self, lane: usize, key: Option<KeyId>) -> Option<(KeyId, usize)> {
-        let key = key.filter(|_| self.set.fetch_price > 0.0)?;
-        let (now, span, version) = (self.now, self.set.span(), self.version);
-        let l = &mut self.lanes[lane];
-        let live = l.ring.len();
-        let total = l.asked.per_micro(now, span).max(1e-12);
-        let h = l.keys.get_mut(&key)?;
-        let few = 1 + (HOME_ROOM * live as f64 * h.asked.per_micro(now, span) / total) as usize;
-        if h.version != version || h.order.len() < few.min(live) {
-            h.version = version;
-            h.fill(key, &l.ring, 2 * few + 8);
-        }
-        Some((key, few))
-    }
-
     /// The fewest of our jobs for its capacity, among a few random workers of the right kind.
     /// Departure: drawn from a few workers of an order of our own, as many as our traffic keeps
     /// busy, and from the rest only while too few of those will do. So a scheduler with little
     /// traffic knows its workers and keeps its connections, and a pick costs no more at size.
-    fn pick(&self, held: &Held, lane: usize, homes: Option<(KeyId, usize)>) -> Option<WorkerId> {
+    fn pick(&self, held: &Held, lane: usize) -> Option<WorkerId> {
         let l = &self.lanes[lane];
         // Departure: its price and what is lost on that way more than at home against the share lost.
         let (lost, home) = (self.lost(lane).max(LEAST_LOST), self.ways.missed(self.set.zone));
@@ -464,7 +506,7 @@
         let left = (held.job.due - self.now) as f64;
         let weight = |w: &Worker| {
             // A hinted job would end too late there: taken if all drawn are like that.
-            let recent = w.sign > 0 && self.now - w.sign < self.tell_every();
+            let recent = w.sign > 0 && self.now - w.sign < self.eighth();
             let far = w.member.zone != self.set.zone;
             let wait = if recent { w.wait as f64 } else { l.wait[usize::from(far)] };
             let slow = held.job.hint && wait + held.job.work / self.pace(w) > left;
@@ -474,8 +516,7 @@
                 * if slow { 1e-9 } else { 1.0 }
         };
         let known = self.known(lane);
-        let most = 1.0 + HOME_ROOM * (l.in_flight as f64 + 1.0) / (l.near.len() + l.far.len()) as f64;
-        let homes = homes.map(|(key, few)| (Candidates::all(&l.keys[&key].order), few, 1, most));
+        let most = 1.0 + ROOM * (l.in_flight as f64 + 1.0) / (l.near.len() + l.far.len()) as f64;
         let plain = if self.set.tells_start { f64::MAX } else { most };
         // With all suspected the judgement is in doubt, not the workers: any is taken.
         for doubtful in [false, true] {
@@ -486,8 +527,7 @@
             });
             let mut best: Option<(f64, WorkerId)> = None;
             let mut rng = self.rng.clone();
-            let least = held.job.work.min(self.mean_work());
-            for (order, few, enough, most) in homes.into_iter().chain([near, far]) {
+            for (order, few, enough, most) in [near, far] {
                 let (mut able, mut total) = (Vec::with_capacity(4 * CANDIDATES), 0.0);
                 // From a random place on: what a pick costs must not grow with the fleet.
                 let few = few.min(order.len());
@@ -497,12 +537,9 @@
                         break;
                     }
                     let w = &self.workers[&id];
-                    let busy = (pass_over && w.waits()) || w.in_flight as f64 >= most;
-                    let left_out = || busy || self.suspected(w, &held.job);
-                    if w.full_until > self.now || (!doubtful && left_out()) {
-                        continue;
-                    }
-                    if self.in_scope(held, w) && self.cold_room(w).is_none_or(|room| room >= least) {
+                    let asked = w.asked.is_some() || held.asked.contains(&id);
+                    let busy = asked || (pass_over && w.waits()) || w.in_flight as f64 >= most;
+                    if (doubtful || !busy) && self.takes(w, held, doubtful) {
                         able.push((weight(w), w));
                         total += able[able.len() - 1].0;
                     }
@@ -524,9 +561,6 @@
                 if best.is_none_or(|b| score < b.0) {
                     best = Some((score, w.member.worker));
                 }
-                if homes.is_some() {
-                    break;
-                }
             }
             let mut all = l.near.ids().iter().chain(l.far.ids());
             if best.is_some() || all.any(|id| !self.suspected(&self.workers[id], &held.job)) {
@@ -575,6 +609,7 @@
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         self.rng.rand_u64(); // the pick drew from a copy
         let far = self.is_far(worker);
+        self.unask(id);
         let Some(held) = self.requests.get_mut(&id) else { return };
         // Four times what starts take now, if that is more: where all wait it is no worker's fault.
         let usual = (4.0 * self.lanes[held.job.lane].wait[far]) as Micros;
@@ -948,9 +983,8 @@
         let backoff = (self.mean_work() as Micros / 4).max(self.set.tick);
         let Some(w) = self.workers.get_mut(&a.worker) else { return };
         w.in_flight = w.in_flight.saturating_sub(1);
-        let answered = matches!(status, Status::Ok | Status::Full | Status::Error | Status::Rejected);
-        self.ways.learn(w.member.zone, !answered, BLEND / 4.0);
-        if answered {
+        self.ways.learn(w.member.zone, !status.answered(), BLEND / 4.0);
+        if status.answered() {
             w.idle.push(now);
         }
         w.unstarted = w.unstarted.saturating_sub(u32::from(a.started.is_none()));
@@ -1041,6 +1075,7 @@
 
     fn forget(&mut self, id: RequestId) {
         self.unqueue(id);
+        self.unask(id);
         self.requests.remove(&id);
     }
 
@@ -1055,11 +1090,6 @@
             if self.demand.born.is_none() && self.set.must_subscribe {
                 out.push(Action::Subscribe);
             }
-            if self.demand.born.is_none() && self.set.peers && self.set.instances > 1 {
-                let every = self.tell_every().max(1) as u64;
-                let first = self.rng.rand_range(0..every) as Micros;
-                self.wakes.insert((self.now + first, Wake::Tell));
-            }
             self.demand.born.get_or_insert(self.now);
         }
         for member in list {
@@ -1100,7 +1130,6 @@
         let (now, span) = (self.now, self.set.span() as Micros);
         let silent = |w: &Worker| w.unlisted.is_some_and(|at| now >= at.max(w.sign) + span);
         self.workers.retain(|w| (w.member.standing != Standing::Gone && !silent(w)) || w.in_flight > 0);
-        self.version += 1;
         let live = |w: &&Worker| w.member.standing == Standing::Live;
         self.scale = self.workers.values().filter(live).map(|w| w.member.scale).sum();
         for l in &mut self.lanes {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,8 +19,8 @@
     kinds: Vec<String>,
     over_share_worth: f64,
     projects: Vec<Project>,
-    rank: u32,
     replicas_of_me: u32,
+    report: Reports,
     rules: Rules,
     weights: String,
     zone: String,
@@ -33,7 +33,7 @@
     conn_idle_ms: f64,
     connect_timeout_ms: f64,
     max_retry_after_ms: f64,
-    peers: bool,
+    probing: bool,
     retry_after: bool,
     try_limit: u32,
 }
@@ -55,7 +55,7 @@
 #[serde(default)]
 struct Costs {
     cross_zone: f64,
-    origin: f64,
+    probe: f64,
 }
 
 #[derive(Clone, Debug, Deserialize, Default, PartialEq)]
@@ -64,6 +64,15 @@
     class_kind: Vec<i64>,
     class_stretch: Vec<f64>,
     tells_start: bool,
+    report_x0: String,
+}
+
+/// Load reports.
+#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
+#[serde(default)]
+struct Reports {
+    fields: Vec<String>,
+    how: String,
 }
 
 #[derive(Clone, Debug, Deserialize, Default, PartialEq)]
@@ -163,6 +172,16 @@
 }
 
 impl Setup {
+    /// A report's meaning, from its values by their names.
+    pub fn report(&self, value: impl Fn(&str) -> Option<f64>) -> Report {
+        let free = (self.family_info.report_x0 == "free slots").then(|| value("x0")).flatten();
+        Report { free, held: value("concurrent") }
+    }
+    /// The meaning of a report that is a row of the values that the settings name.
+    pub fn report_row(&self, row: &[f64]) -> Report {
+        let place = |name: &str| self.report.fields.iter().position(|f| f == name);
+        self.report(|name| row.get(place(name)?).copied())
+    }
     /// What the module is started with, and the names behind its numbers.
     pub fn read(&self) -> (Settings, Catalogue) {
         let mut names = Catalogue {
@@ -270,7 +289,6 @@
     Settings {
         instances: setup.replicas_of_me.max(1),
         parts: 1,
-        rank: setup.rank,
         zone: ZoneId(names.zones.number(&setup.zone)),
         tick: micros(setup.granularity_ms).max(1),
         classes: setup.classes.iter().enumerate().map(class).collect(),
@@ -283,7 +301,6 @@
         must_subscribe: setup.discovery == "on_request",
         tells_start: f.tells_start,
         cancel: setup.allowed.cancel,
-        peers: setup.allowed.peers,
         scale_is_capacity: matches!(setup.weights.as_str(), "nominal" | "live"),
         retry_after: setup.allowed.retry_after,
         max_retry_after: micros(setup.allowed.max_retry_after_ms),
@@ -295,7 +312,10 @@
         fall_time: micros(setup.rules.fall_ms),
         full_may_have_run: setup.rules.shed_after_start,
         cross_zone_price: setup.costs.cross_zone,
-        fetch_price: setup.costs.origin,
+        probes: setup.allowed.probing
+            && ["probe", "answers"].contains(&setup.report.how.as_str())
+            && setup.report.fields.iter().any(|f| f == "concurrent"),
+        probe_price: setup.costs.probe,
         ration: ration(&setup.rules),
         only_draining_binds: setup.rules.soft_removal,
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::fleet::{Order, Workers};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A seeded source of random numbers.
 #[derive(Clone, Debug)]
@@ -38,10 +38,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Wake {
     Answer(RequestId),
+    /// What a round of probes for it has brought.
+    Asked(RequestId, u32),
     Stuck(RequestId, u32),
     Room,
     Subscribe,
-    Tell,
 }
 
 /// One RFQ server: the workers of one kind (or all of them), with its own tags and window.
@@ -66,11 +67,8 @@
     /// Running mean of what is in flight as a job is sent.
     pub level: f64,
     pub done: Decayed,
-    /// How often each key is asked for and where its workers are.
-    pub keys: HashMap<KeyId, Homes>,
-    pub asked: Decayed,
-    /// The live workers, each with its mark and size.
-    pub ring: Vec<(WorkerId, u64, f32)>,
+    /// How many live workers run its jobs.
+    pub live: usize,
     /// The live workers of the own zone and the others, each in an order of our own.
     pub near: Order,
     pub far: Order,
@@ -82,7 +80,7 @@
     pub fn renew(&mut self, workers: &Workers, zone: ZoneId, rng: &mut Random) {
         let fits = |m: &Member| m.standing == Standing::Live && self.kind.is_none_or(|k| k == m.kind);
         let live: Vec<&Member> = workers.values().map(|w| &w.member).filter(|m| fits(m)).collect();
-        self.ring = live.iter().map(|m| (m.worker, m.mark, m.scale.max(0.001) as f32)).collect();
+        self.live = live.len();
         for (order, own) in [(&mut self.near, true), (&mut self.far, false)] {
             let here = live.iter().filter(|m| own == (m.zone == zone)).map(|m| m.worker);
             let here: BTreeSet<WorkerId> = here.collect();
@@ -113,20 +111,12 @@
             }
         }
     }
-    /// A request of that key was asked for; with `most` keys known all are learned anew.
-    pub fn count(&mut self, key: KeyId, now: Micros, span: f64, size: f64, most: usize) {
-        self.asked.add(now, span, size);
-        if self.keys.len() >= most {
-            self.keys.clear();
-        }
-        self.keys.entry(key).or_default().asked.add(now, span, size);
-    }
     /// The least window, and the first: each worker can do one job at a time, and so many
     /// schedulers share them; two in any case. With more schedulers than workers it grows with their
     /// number: what one of them sees is the others' load, which its own window can't relieve, and
     /// with all windows narrowed together jobs would be held while workers stand idle.
     pub fn widen_to(&mut self, instances: u32) {
-        let (workers, instances) = (self.ring.len().max(1) as f64, instances.max(1) as f64);
+        let (workers, instances) = (self.live.max(1) as f64, instances.max(1) as f64);
         self.window = self.window.max(workers / instances).max(2.0 * (instances / workers).max(1.0));
     }
 }
@@ -181,14 +171,11 @@
     }
 }
 
-/// First tries of each tenant here, decayed, since the first list; what the others are asked of
-/// each in the mean, by their messages, and how many of these have come.
+/// First tries of each tenant here, decayed, since the first list.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
     pub asked: Vec<Decayed>,
     pub born: Option<Micros>,
-    pub others: Vec<f64>,
-    pub heard: u32,
 }
 
 impl Demand {
@@ -201,15 +188,6 @@
     /// As many tenants as that from now on.
     pub fn resize(&mut self, tenants: usize) {
         self.asked.resize(tenants + 1, Decayed::default());
-        self.others.resize(tenants, 0.0);
-    }
-    /// Take a message in; the mean is one of the last eight.
-    pub fn hear(&mut self, words: &[u8]) {
-        self.heard = (self.heard + 1).min(8);
-        let rates = words.chunks_exact(4).map(|c| f32::from_le_bytes([c[0], c[1], c[2], c[3]]) as f64);
-        for (mean, rate) in self.others.iter_mut().zip(rates).filter(|(_, r)| r.is_finite()) {
-            *mean += (rate.max(0.0) - *mean) / self.heard as f64;
-        }
     }
 }
 
@@ -280,29 +258,6 @@
     }
 }
 
-/// The workers that a key's requests go to.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Homes {
-    pub asked: Decayed,
-    /// The first in the key's order of the list of that version.
-    pub order: Vec<WorkerId>,
-    pub version: u64,
-}
-
-impl Homes {
-    /// The first workers in the key's order: rendezvous hashing, each weighed by its size.
-    pub fn fill(&mut self, key: KeyId, ring: &[(WorkerId, u64, f32)], kept: usize) {
-        let luck = |mark| oorandom::Rand32::new_inc(key.0, mark).rand_float();
-        let mut all: Vec<_> = ring.iter().map(|w| (luck(w.1) / w.2, w.0)).collect();
-        if kept < all.len() {
-            all.select_nth_unstable_by(kept, |a, b| a.0.total_cmp(&b.0));
-            all.truncate(kept);
-        }
-        all.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        self.order = all.into_iter().map(|s| s.1).collect();
-    }
-}
-
 /// A deficit token bucket; tokens are slots, times the hint in microseconds where there is one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Bucket {
@@ -349,6 +304,9 @@
     pub fulls: u32,
     /// How long the last start there took, or has taken so far.
     pub wait: Micros,
+    /// The request that a probe of ours is out for, and what the last one told.
+    pub asked: Option<RequestId>,
+    pub report: Report,
     /// When each idle connection there was last used; the latest is used first.
     pub idle: Vec<Micros>,
     /// It said 'full'; no send until then or until a job of ours ends there.
@@ -364,6 +322,13 @@
     pub fn waits(&self) -> bool {
         self.unstarted > self.in_flight.saturating_sub(self.unstarted) / 4
     }
+    /// It is probed for a request.
+    pub fn probe(&mut self, held: &mut Held, id: RequestId) {
+        self.asked = Some(id);
+        self.idle.pop();
+        held.asked.push(self.member.worker);
+        held.unheard += 1;
+    }
     /// One that was just listed.
     pub fn new(member: Member, cold_tokens: f64, now: Micros) -> Self {
         Worker {
@@ -375,6 +340,8 @@
             sign: 0,
             fulls: 0,
             wait: 0,
+            asked: None,
+            report: Report::default(),
             idle: Vec::new(),
             full_until: 0,
             cold_tokens,
@@ -485,6 +452,25 @@
     pub ran: Option<(WorkerId, Micros)>,
     /// Where it was last rejected.
     pub rejected: Option<WorkerId>,
+    /// The round of probes for its next send, from 1, with the workers probed and how many have not
+    /// answered. It counts as in flight meanwhile.
+    pub round: u32,
+    pub asked: Vec<WorkerId>,
+    pub unheard: u32,
+}
+
+impl Held {
+    /// One that has just come, with its tags.
+    pub fn new(job: Job, start: Micros, finish: Micros, most: u32) -> Self {
+        let (attempts, out, queued, ran, rejected) = (0, false, false, None, None);
+        let (round, asked, unheard) = (0, Vec::new(), 0);
+        Held { job, start, finish, attempts, most, out, queued, ran, rejected, round, asked, unheard }
+    }
+    /// No worker is probed for it any longer.
+    pub fn unask(&mut self) {
+        (self.round, self.unheard) = (0, 0);
+        self.asked.clear();
+    }
 }
 
 #[derive(Debug)]
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -185,3 +185,97 @@
     assert_eq!(sent_at_once(100), 4);
     assert_eq!(sent_at_once(60), 2);
 }
+
+/// Many schedulers, few workers, and reports worth their price.
+fn probing(workers: u32) -> Rig {
+    Rig::new(Settings { instances: 100, probes: true, probe_price: 0.01, ..settings() }, workers)
+}
+
+fn probes(actions: &[Action]) -> Vec<u32> {
+    let probe = |a: &Action| if let Action::Probe { worker } = a { Some(worker.0) } else { None };
+    actions.iter().filter_map(probe).collect()
+}
+
+fn tells(rig: &mut Rig, worker: u32, free: f64, held: f64) -> Vec<Action> {
+    let report = Report { free: Some(free), held: Some(held) };
+    rig.event(Event::Probed { worker: WorkerId(worker), status: Status::Ok, report })
+}
+
+/// A job waits for what the workers tell, and the first with a free slot gets it.
+#[test]
+fn a_free_slot_gets_the_job_that_it_was_probed_for() {
+    let mut rig = probing(20);
+    let actions = rig.ask(1, 0);
+    let first = probes(&actions);
+    assert_eq!((first.len(), sends(&actions)), (2, vec![]));
+    assert!(sends(&tells(&mut rig, first[0], 0.0, 5.0)).is_empty());
+    assert_eq!(sends(&tells(&mut rig, first[1], 1.0, 1.0)), [(1, first[1])]);
+}
+
+/// With no slot free in two rounds, the least busy gets the job; nobody is probed for it any more.
+#[test]
+fn without_a_free_slot_the_least_busy_gets_the_job() {
+    let mut rig = probing(20);
+    let mut asked = probes(&rig.ask(1, 0));
+    tells(&mut rig, asked[0], 0.0, 4.0);
+    asked.extend(probes(&tells(&mut rig, asked[1], 0.0, 3.0)));
+    assert_eq!(
+        asked.iter().collect::<std::collections::BTreeSet<_>>().len(),
+        4,
+        "others are probed: {asked:?}"
+    );
+    tells(&mut rig, asked[2], 0.0, 2.0);
+    let actions = tells(&mut rig, asked[3], 0.0, 6.0);
+    assert_eq!((sends(&actions), probes(&actions)), (vec![(1, asked[2])], vec![]));
+    assert!(sends(&rig.pass(S / 2)).is_empty());
+}
+
+/// Where even the least busy would start it too late, it is denied at once: its work would make others late.
+#[test]
+fn a_job_that_all_probed_would_start_too_late_is_denied_at_once() {
+    let mut rig = probing(20);
+    let mut asked = probes(&rig.ask(1, 0));
+    tells(&mut rig, asked[0], 0.0, 40.0);
+    asked.extend(probes(&tells(&mut rig, asked[1], 0.0, 40.0)));
+    tells(&mut rig, asked[2], 0.0, 40.0);
+    assert!(refused(&tells(&mut rig, asked[3], 0.0, 40.0), 1));
+}
+
+/// Silence costs 45 ms at most, whatever is silent, and a worker out of reach is not probed again soon.
+#[test]
+fn what_is_probed_and_says_nothing_does_not_hold_a_job() {
+    let mut rig = probing(20);
+    rig.ask(1, 0);
+    assert_eq!(sends(&rig.pass(45 * MS)).len(), 1);
+    let mut rig = probing(3);
+    for worker in probes(&rig.ask(1, 0)) {
+        let (status, report) = (Status::ConnectFailed, Report::default());
+        rig.event(Event::Probed { worker: WorkerId(worker), status, report });
+    }
+    let left = probes(&rig.pass(45 * MS));
+    assert!(left.len() <= 1, "{left:?}");
+}
+
+/// Own jobs tell enough where workers are no fewer than schedulers, and no probe is worth a high price.
+#[test]
+fn nobody_is_probed_where_it_is_not_worth_it() {
+    let asked = |instances, probe_price| {
+        let set = Settings { instances, probes: true, probe_price, ..settings() };
+        probes(&Rig::new(set, 20).ask(1, 0)).len()
+    };
+    assert_eq!((asked(20, 0.01), asked(100, 0.05), asked(21, 0.01)), (0, 0, 2));
+}
+
+/// A client that leaves while workers are probed leaves nothing behind.
+#[test]
+fn a_request_that_ends_while_workers_are_probed_frees_its_place() {
+    let mut rig = probing(60);
+    for id in 0..50 {
+        let asked = probes(&rig.ask(id, 0));
+        assert_eq!(asked.len(), 2, "request {id} finds room in the window");
+        rig.event(Event::Gone(RequestId(id)));
+        for worker in asked {
+            assert!(sends(&tells(&mut rig, worker, 2.0, 0.0)).is_empty());
+        }
+    }
+}
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -23,6 +23,9 @@
 
 /// Connections to backend servers are closed after this part of the time that those allow.
 const IDLE_PART: f64 = 0.7;
+/// How long a probe waits for its answer. A server that has no room answers when it has: the connection
+/// is kept for that long, so that it need not be opened again.
+const PROBE: Duration = Duration::from_millis(1_000);
 /// How long the end of an answer may take after its last line.
 const TAIL: Duration = Duration::from_millis(200);
 
@@ -73,7 +76,7 @@
     /// Whether it may be sent anything new.
     active: watch::Sender<bool>,
     /// Idle connections, the one used last at the back, by their number.
-    idle: VecDeque<(u64, mpsc::Sender<Task>)>,
+    idle: VecDeque<(u64, mpsc::Sender<Call>)>,
 }
 
 /// One attempt on its way to a connection.
@@ -85,10 +88,34 @@
     cancelled: oneshot::Receiver<()>,
 }
 
-/// What an idle connection is to do.
+/// What a connection is to do next.
 #[derive(Debug)]
 enum Task {
     Dispatch(Dispatch),
+    /// A probe, which waits until then.
+    Probe(Instant),
+}
+
+impl Task {
+    fn until(&self) -> Instant {
+        match self {
+            Task::Dispatch(dispatch) => dispatch.until,
+            Task::Probe(until) => *until,
+        }
+    }
+    /// Ready once it is called off.
+    async fn cancelled(&mut self) {
+        match self {
+            Task::Dispatch(dispatch) => drop((&mut dispatch.cancelled).await),
+            Task::Probe(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// What an idle connection is told.
+#[derive(Debug)]
+enum Call {
+    Do(Task),
     Close(Ending),
 }
 
@@ -172,9 +199,10 @@
                 Order::Dispatch { id, worker, payload, until } => {
                     let (cancel, cancelled) = oneshot::channel();
                     self.out.borrow_mut().insert(id, cancel);
-                    self.dispatch(worker, Dispatch { id, payload, until, cancelled });
+                    self.begin(worker, Task::Dispatch(Dispatch { id, payload, until, cancelled }));
                 }
                 Order::Cancel(id) => drop(self.out.borrow_mut().remove(&id)),
+                Order::Probe(worker) => self.begin(worker, Task::Probe(Instant::now() + PROBE)),
                 Order::CloseIdle(worker) => self.close_idle(worker, Ending::ClosedIdle),
                 Order::Server { worker, address, active } => self.server(worker, address, active),
             }
@@ -225,7 +253,7 @@
         let mut servers = self.servers.borrow_mut();
         for (_, connection) in servers.get_mut(&worker).into_iter().flat_map(|s| s.idle.drain(..)) {
             // One that has just ended by itself needs no telling.
-            let _ = connection.try_send(Task::Close(ending));
+            let _ = connection.try_send(Call::Close(ending));
         }
     }
 
@@ -237,7 +265,7 @@
         let (worker, Some((_, connection))) = (*worker, server.idle.pop_front()) else { return false };
         drop(servers);
         self.exchange.idle_closed(worker, 0);
-        connection.try_send(Task::Close(Ending::Evicted)).is_ok()
+        connection.try_send(Call::Close(Ending::Evicted)).is_ok()
     }
 
     fn report(&self, id: DispatchId, status: Status) {
@@ -245,21 +273,31 @@
         self.exchange.ended(id, status);
     }
 
-    /// Put an attempt on the idle connection used last, or on a new one.
-    fn dispatch(self: &Rc<Self>, worker: WorkerId, mut dispatch: Dispatch) {
+    /// How a task that never got a connection, or lost it, has ended.
+    fn ended(&self, worker: WorkerId, task: &Task, status: Status) {
+        match task {
+            Task::Dispatch(dispatch) => self.report(dispatch.id, status),
+            Task::Probe(_) => self.exchange.probed(worker, status, |_| None),
+        }
+    }
+
+    /// Put an attempt, or a probe, on the idle connection used last, or on a new one.
+    fn begin(self: &Rc<Self>, worker: WorkerId, mut task: Task) {
         let (address, active) = {
             let mut servers = self.servers.borrow_mut();
             let Some(server) = servers.get_mut(&worker) else {
                 drop(servers);
                 warn!("a dispatch to a server without an address was not made");
-                return self.report(dispatch.id, Status::ConnectFailed);
+                return self.ended(worker, &task, Status::ConnectFailed);
             };
-            debug!("dispatch {}.{} to {}", dispatch.id.request.0, dispatch.id.attempt, server.address);
+            if let Task::Dispatch(dispatch) = &task {
+                debug!("dispatch {}.{} to {}", dispatch.id.request.0, dispatch.id.attempt, server.address);
+            }
             while let Some((_, connection)) = server.idle.pop_back() {
-                match connection.try_send(Task::Dispatch(dispatch)) {
+                match connection.try_send(Call::Do(task)) {
                     Ok(()) => return,
-                    Err(mpsc::error::TrySendError::Closed(Task::Dispatch(back)))
-                    | Err(mpsc::error::TrySendError::Full(Task::Dispatch(back))) => dispatch = back,
+                    Err(mpsc::error::TrySendError::Closed(Call::Do(back)))
+                    | Err(mpsc::error::TrySendError::Full(Call::Do(back))) => task = back,
                     Err(_) => return,
                 }
             }
@@ -269,18 +307,18 @@
         // later, so the bound is one over for that long.
         if self.connections.get() >= self.bounds.get().connections && !self.evict() {
             warn!("no connection is left for a dispatch");
-            return self.report(dispatch.id, Status::ConnectFailed);
+            return self.ended(worker, &task, Status::ConnectFailed);
         }
         self.connections.set(self.connections.get() + 1);
         let backend = self.clone();
         tokio::task::spawn_local(async move {
-            let (ending, messages, left) = backend.connection(worker, address, active, dispatch).await;
+            let (ending, messages, left) = backend.connection(worker, address, active, task).await;
             backend.connections.set(backend.connections.get() - 1);
             ending.log(Side::Backend, address, messages);
             backend.ended.notify_one();
             // It was dead before anything was written to it, so this is no repeat.
-            if let Some(dispatch) = left {
-                backend.dispatch(worker, dispatch);
+            if let Some(task) = left {
+                backend.begin(worker, task);
             }
         });
     }
@@ -292,19 +330,22 @@
         worker: WorkerId,
         address: SocketAddr,
         mut active: watch::Receiver<bool>,
-        mut dispatch: Dispatch,
-    ) -> (Ending, u64, Option<Dispatch>) {
-        let mut connection = match self.connect(address, &mut active, &mut dispatch).await {
+        mut task: Task,
+    ) -> (Ending, u64, Option<Task>) {
+        let mut connection = match self.connect(address, &mut active, &mut task).await {
             Ok(stream) => self.pool.framed::<Outgoing, _>(stream, ClientCodec::new(&self.pool, MAX_BODY)),
             Err((status, ending)) => {
-                self.report(dispatch.id, status);
+                self.ended(worker, &task, status);
                 return (ending, 0, None);
             }
         };
         let mut messages = 0;
         let (ending, left) = loop {
             messages += 1;
-            let (ending, answered) = self.attempt(&mut connection, &mut active, dispatch).await;
+            let (ending, answered) = match task {
+                Task::Dispatch(dispatch) => self.attempt(&mut connection, &mut active, dispatch).await,
+                Task::Probe(until) => self.probe(worker, address, &mut connection, &active, until).await,
+            };
             if let Some(ending) = ending {
                 if answered {
                     // It counts as idle from its answer on.
@@ -312,16 +353,16 @@
                 }
                 break (ending, None);
             }
-            let (task, tasks) = mpsc::channel(1);
+            let (call, calls) = mpsc::channel(1);
             let number = self.parked.get();
             self.parked.set(number + 1);
             match self.servers.borrow_mut().get_mut(&worker) {
                 // Guards against a server that has left, or moved, while it answered.
-                Some(s) if s.address == address && *s.active.borrow() => s.idle.push_back((number, task)),
+                Some(s) if s.address == address && *s.active.borrow() => s.idle.push_back((number, call)),
                 _ => break (Ending::ServerLeft, None),
             }
-            match self.parked(&mut connection, tasks).await {
-                Ok(next) => dispatch = next,
+            match self.parked(&mut connection, calls).await {
+                Ok(next) => task = next,
                 Err(end) => {
                     let place = self.servers.borrow_mut().get_mut(&worker).and_then(|server| {
                         let place = server.idle.iter().position(|(n, _)| *n == number)?;
@@ -343,12 +384,12 @@
         &self,
         address: SocketAddr,
         active: &mut watch::Receiver<bool>,
-        dispatch: &mut Dispatch,
+        task: &mut Task,
     ) -> Result<TcpStream, (Status, Ending)> {
-        let wait = (Instant::now() + self.bounds.get().connect_timeout).min(dispatch.until);
+        let wait = (Instant::now() + self.bounds.get().connect_timeout).min(task.until());
         let stream = tokio::select! {
             biased;
-            _ = &mut dispatch.cancelled => return Err((Status::Cancelled, Ending::Cancelled)),
+            () = task.cancelled() => return Err((Status::Cancelled, Ending::Cancelled)),
             () = left(active) => return Err((Status::Moot, Ending::ServerLeft)),
             stream = TcpStream::connect(address) => stream,
             () = self.deadlines.at(wait) => return Err((Status::ConnectFailed, Ending::ConnectTimeout)),
@@ -361,12 +402,59 @@
         })
     }
 
-    /// Wait on an idle connection for its next attempt, or why it ends.
+    /// Probe the server over its connection; why that ends, if it does, and whether an answer had come.
+    /// The module hears of the answer once the connection can be used again.
+    async fn probe(
+        &self,
+        worker: WorkerId,
+        address: SocketAddr,
+        connection: &mut Connection,
+        active: &watch::Receiver<bool>,
+        until: Instant,
+    ) -> (Option<Ending>, bool) {
+        // Guards drains: a server that leaves is sent nothing at all.
+        if !*active.borrow() {
+            self.exchange.probed(worker, Status::Moot, |_| None);
+            return (Some(Ending::ServerLeft), false);
+        }
+        let asked = async {
+            let fields = format!("Host: {address}\r\n");
+            let request = Outgoing { method: "GET", target: "/_load", fields, body: None };
+            self.pool.send(connection, request).await.map_err(|_| Ending::PeerBroke)?;
+            let (mut status, mut values) = (Status::Error, Vec::new());
+            loop {
+                match self.pool.next(connection).await {
+                    Some(Ok(Piece::Head { status: 200, .. })) => status = Status::Ok,
+                    Some(Ok(Piece::Head { status: 503, .. })) => status = Status::Full,
+                    Some(Ok(Piece::Head { .. })) => {}
+                    Some(Ok(Piece::Line(line))) => values.extend(figures(&line)),
+                    Some(Ok(Piece::End { reusable })) => return Ok((status, values, reusable)),
+                    Some(Err(ReadError::Bad { .. })) => return Err(Ending::Malformed),
+                    None | Some(Err(ReadError::Io(_))) => return Err(Ending::PeerBroke),
+                }
+            }
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = asked => answer,
+            () = self.deadlines.at(until) => Err(Ending::TimedOut),
+        };
+        let (status, values, ending) = match answer {
+            Ok((status, values, reusable)) => (status, values, (!reusable).then_some(Ending::LastMessage)),
+            Err(Ending::TimedOut) => (Status::Timeout, Vec::new(), Some(Ending::TimedOut)),
+            Err(ending) => (Status::Reset, Vec::new(), Some(ending)),
+        };
+        let value = |name: &str| values.iter().find(|(n, _)| n == name).map(|(_, v)| *v);
+        self.exchange.probed(worker, status, value);
+        (ending, matches!(status, Status::Ok | Status::Full | Status::Error))
+    }
+
+    /// Wait on an idle connection for its next task, or why it ends.
     async fn parked(
         &self,
         connection: &mut Connection,
-        mut tasks: mpsc::Receiver<Task>,
-    ) -> Result<Dispatch, (Ending, Option<Dispatch>)> {
+        mut calls: mpsc::Receiver<Call>,
+    ) -> Result<Task, (Ending, Option<Task>)> {
         let ending = tokio::select! {
             biased;
             // First, so that a connection known to be dead is never used again.
@@ -374,16 +462,16 @@
                 None | Some(Err(ReadError::Io(_))) => Ending::PeerClosed,
                 Some(_) => Ending::Malformed,
             },
-            task = tasks.recv() => match task {
-                Some(Task::Dispatch(dispatch)) => return Ok(dispatch),
-                Some(Task::Close(ending)) => ending,
+            call = calls.recv() => match call {
+                Some(Call::Do(task)) => return Ok(task),
+                Some(Call::Close(ending)) => ending,
                 None => Ending::Shutdown,
             },
             () = self.deadlines.after(self.bounds.get().idle) => Ending::Idle,
         };
-        tasks.close();
-        match tasks.try_recv() {
-            Ok(Task::Dispatch(dispatch)) => Err((ending, Some(dispatch))),
+        calls.close();
+        match calls.try_recv() {
+            Ok(Call::Do(task)) => Err((ending, Some(task))),
             _ => Err((ending, None)),
         }
     }
@@ -536,6 +624,14 @@
     }
 }
 
+/// The figures of a load report as text, `TEXT inflight=7, queue=2`; what is no figure is passed over.
+fn figures(line: &[u8]) -> Vec<(String, f64)> {
+    let text = String::from_utf8_lossy(line);
+    let words = text.split([' ', ',']).filter_map(|word| word.split_once('='));
+    let figure = |(name, value): (&str, &str)| Some((name.to_string(), value.parse().ok()?));
+    words.filter_map(figure).filter(|(_, value): &(_, f64)| value.is_finite()).collect()
+}
+
 /// Ready once the server may no longer be sent anything new.
 async fn left(active: &mut watch::Receiver<bool>) {
     if active.wait_for(|active| !active).await.is_err() {
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -76,6 +76,8 @@
     },
     /// Call an attempt off.
     Cancel(DispatchId),
+    /// Ask a backend server whether it would start a job now.
+    Probe(WorkerId),
     /// Close the idle connections to a backend server.
     CloseIdle(WorkerId),
     /// Where a backend server is, and whether it may be sent anything new.
@@ -303,6 +305,13 @@
         self.tell(Event::Outcome { id: id.request, attempt: id.attempt, status, settled });
     }
 
+    /// A probe of a backend server has ended.
+    pub fn probed(&self, worker: WorkerId, status: Status, value: impl Fn(&str) -> Option<f64>) {
+        let report = self.inner.borrow().setup.report(value);
+        debug!("probe of {} ended {status:?} {report:?}", worker.0);
+        self.tell(Event::Probed { worker, status, report });
+    }
+
     /// An idle connection to a backend server has ended unasked, the one in that place by its age.
     pub fn idle_closed(&self, worker: WorkerId, place: usize) {
         self.tell(Event::IdleClosed { worker, place });
@@ -380,9 +389,10 @@
                 let at = Instant::now() + Duration::from_micros(after.max(0) as u64);
                 self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
             }
+            Action::Probe { worker } => self.order(Order::Probe(worker)),
             Action::CloseIdle { worker } => self.order(Order::CloseIdle(worker)),
-            // The watch on discovery is always kept open, and nodes have no way to tell each other.
-            Action::Subscribe | Action::Tell { .. } => {}
+            // The watch on discovery is always kept open.
+            Action::Subscribe => {}
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,6 @@
 use crate::api::*;
 use crate::settings::{mark, micros, Catalogue, Names, Setup};
 use crate::Balancer;
-use base64::prelude::{Engine, BASE64_STANDARD};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
@@ -33,7 +32,8 @@
     status: Option<i64>,
     #[serde(default)]
     settled: bool,
-    data: Option<String>,
+    worker: Option<String>,
+    report: Option<Vec<f64>>,
 }
 
 #[derive(Deserialize)]
@@ -77,22 +77,32 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     active: Option<bool>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    neighbour_id: Option<u32>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    data: Option<String>,
-    #[serde(skip_serializing_if = "Option::is_none")]
     words: Option<&'a str>,
 }
 
 struct Instance {
     balancer: Balancer,
     names: Catalogue,
+    setup: Setup,
 }
 
 fn ms(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
 
+fn status(number: i64) -> Status {
+    match number {
+        0 => Status::Ok,
+        8 => Status::Full,
+        4 => Status::Timeout,
+        14 => Status::ConnectFailed,
+        10 => Status::Reset,
+        1 => Status::Cancelled,
+        9 => Status::Moot,
+        _ => Status::Error,
+    }
+}
+
 fn need<T>(field: Option<T>, name: &str) -> Result<T, String> {
     field.ok_or_else(|| format!("field '{name}' is missing"))
 }
@@ -161,27 +171,18 @@
             "ATTEMPT_END" => Event::Outcome {
                 id: id()?,
                 attempt: attempt()?,
-                status: match need(line.status, "status")? {
-                    0 => Status::Ok,
-                    8 => Status::Full,
-                    4 => Status::Timeout,
-                    14 => Status::ConnectFailed,
-                    10 => Status::Reset,
-                    1 => Status::Cancelled,
-                    9 => Status::Moot,
-                    _ => Status::Error,
-                },
+                status: status(need(line.status, "status")?),
                 settled: line.settled,
             },
             "VANISHED" => Event::Gone(id()?),
             "ELAPSED" => Event::Wake,
-            // No probe is ever sent.
-            "PONG" => return Ok(None),
-            "DATAGRAM" => Event::Told {
-                words: BASE64_STANDARD
-                    .decode(need(line.data, "data")?)
-                    .map_err(|e| format!("field 'data': {e}"))?,
+            "PONG" => Event::Probed {
+                worker: WorkerId(self.names.workers.number(&need(line.worker, "worker")?)),
+                status: status(need(line.status, "status")?),
+                report: self.setup.report_row(line.report.as_deref().unwrap_or_default()),
             },
+            // Instances have nothing to tell each other.
+            "DATAGRAM" => return Ok(None),
             other => return Err(format!("unknown message '{other}'")),
         }))
     }
@@ -202,10 +203,7 @@
         Action::Wake { after } => {
             Reply { t: "AFTER", after_ms: Some(ms((*after).max(0))), cookie: Some(0), ..base }
         }
-        Action::Tell { to, words } => {
-            let data = Some(BASE64_STANDARD.encode(words));
-            Reply { t: "WRITE_PEER", neighbour_id: Some(*to), data, ..base }
-        }
+        Action::Probe { worker: w } => Reply { t: "INSPECT", worker: worker(w), ..base },
         Action::CloseIdle { worker: w } => Reply { t: "HANG_UP", worker: worker(w), ..base },
         Action::Subscribe => Reply { t: "KEEP_INFORMED", active: Some(true), ..base },
     }
@@ -234,7 +232,7 @@
                 let setup = need(line.setup, "setup").map_err(at)?;
                 let (settings, names) = setup.read();
                 let balancer = Balancer::new(settings, line.salt.unwrap_or(0));
-                instances.insert(name, Instance { balancer, names });
+                instances.insert(name, Instance { balancer, names, setup });
             }
             "HALT" => drop(instances.remove(&need(line.scheduler, "scheduler").map_err(at)?)),
             _ => {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -726,3 +726,33 @@
     backend.serve("a", &result);
     assert!(client.message().body == result);
 }
+
+/// Where many nodes share few servers, a job goes to the one that tells of a free slot, over the connection
+/// that the probe has opened.
+#[rstest]
+fn servers_are_probed_and_the_one_with_a_free_slot_gets_the_job() {
+    let servers = [Party::new(), Party::new()];
+    let mut config = config(&[servers[0].address, servers[1].address]);
+    let settings = &mut config["settings"];
+    settings["replicas_of_me"] = json!(100);
+    settings["report"] = json!({"how": "probe", "fields": ["x0", "err_ps", "concurrent"]});
+    settings["family_info"]["report_x0"] = json!("free slots");
+    settings["costs"] = json!({"probe": 0.01});
+    let node = Node::start(&config);
+    let mut client = node.client();
+    client.send(&job("a", "/zone-plan", "5000m", ""));
+    let mut peers = servers.each_ref().map(Party::accept);
+    for peer in &mut peers {
+        assert_eq!(peer.message().first, "GET /_load HTTP/1.1");
+    }
+    let report = |free: u32, held: u32| {
+        let text = format!("TEXT x0={free}, err_ps=nonsense, concurrent={held}");
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+    };
+    peers[1].send(&report(0, 3));
+    peers[0].send(&report(1, 1));
+    assert_eq!(peers[0].id(), "a");
+    peers[0].serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(servers.iter().all(Party::is_left_alone));
+}
