Spread calls to discovery over the fleet, and keep the list when it is busy

With pauses of seconds as a trial all were answered at once, so it is our rate, not discovery's absence.

Change: where lists must be asked for, a node waits a random part of 30 ms for each node of the fleet before a watch, up to four times that while it is turned away; 429 and 503 keep the revision (reason=busy); a whole list is waited for as long as a call may queue. The pauses are in a module without clock (net/backoff.rs).

The lab's stand-in for discovery put its beat off with each change and counted news to an ended watch as told; mended.

Tests: backoff without clock; on sockets, a busy discovery is asked for changes only.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -172,11 +172,24 @@
 }
 
 impl Setup {
+    /// How many nodes there are, this one counted in; 1 where the settings don't tell.
+    pub fn instances(&self) -> u32 {
+        self.replicas_of_me.max(1)
+    }
     /// A report's meaning, from its values by their names.
     pub fn report(&self, value: impl Fn(&str) -> Option<f64>) -> Report {
         let free = (self.family_info.report_x0 == "free slots").then(|| value("x0")).flatten();
         Report { free, held: value("concurrent") }
     }
+    /// How many nodes load discovery with their calls, this one counted in: 1 where it pushes its lists to
+    /// an agent beside each node, which answers at no cost and has to be heard at once.
+    pub fn askers(&self) -> u32 {
+        if self.discovery == "on_request" {
+            self.instances()
+        } else {
+            1
+        }
+    }
     /// The meaning of a report that is a row of the values that the settings name.
     pub fn report_row(&self, row: &[f64]) -> Report {
         let place = |name: &str| self.report.fields.iter().position(|f| f == name);
@@ -287,7 +300,7 @@
         kind: f.class_kind.get(i).and_then(|&k| kinds.get(usize::try_from(k).ok()?)).copied(),
     };
     Settings {
-        instances: setup.replicas_of_me.max(1),
+        instances: setup.instances(),
         parts: 1,
         zone: ZoneId(names.zones.number(&setup.zone)),
         tick: micros(setup.granularity_ms).max(1),
--- a/crates/lab/src/load/discovery.rs
+++ b/crates/lab/src/load/discovery.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep_until;
 
 /// A watch that has nothing to say says an empty line this often.
 const BEAT: Duration = Duration::from_secs(2);
@@ -69,6 +69,8 @@
     let mut changes = rig.news.subscribe();
     let mut due: VecDeque<(Micros, Member)> = VecDeque::new();
     let mut last = 0;
+    // What waits to be told must not put the beat off.
+    let mut beat = tokio::time::interval(BEAT);
     while !feed.is_closed() {
         for member in rig.news.borrow().iter().skip(seen).cloned() {
             seen += 1;
@@ -82,11 +84,14 @@
                 let Some((_, member)) = due.pop_front() else { continue };
                 let live = member.standing == Standing::Live;
                 let told = line(seen - due.len() + 1, false, &[entry(&rig, &member)]);
-                let _ = feed.send(Ok(Frame::data(told)));
+                // A watch that has ended tells nobody.
+                if feed.is_closed() || feed.send(Ok(Frame::data(told))).is_err() {
+                    return;
+                }
                 rig.checker.borrow_mut().told(node, member.worker.0, live, member.started, rig.now());
             }
             changed = changes.changed() => if changed.is_err() { return },
-            () = sleep(BEAT) => {
+            _ = beat.tick() => {
                 let _ = feed.send(Ok(Frame::data(Bytes::from_static(b"\n"))));
             }
         }
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -40,6 +40,8 @@
     ClosedIdle,
     /// Nothing came for longer than the other side may be silent.
     Silent,
+    /// The other side has too much to do.
+    Busy,
     /// The configuration names another discovery now.
     Moved,
 }
@@ -65,6 +67,7 @@
             Ending::ServerLeft => "server-left",
             Ending::ClosedIdle => "closed-idle",
             Ending::Silent => "silent",
+            Ending::Busy => "busy",
             Ending::Moved => "moved",
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! [`exchange::Exchange`], and a server table that follows discovery.
 
 pub mod backend;
+pub mod backoff;
 pub mod codec;
 pub mod config;
 pub mod deadlines;
@@ -14,6 +15,7 @@
 pub mod server_table;
 
 use backend::{Backend, Bounds};
+use backoff::Backoff;
 use config::{Config, ConfigError};
 use deadlines::Deadlines;
 use door::Door;
@@ -153,7 +155,8 @@
     let (exchange, orders) = Exchange::new(&config.setup, config.seed, deadlines.clone());
     let backend = Backend::new(exchange.clone(), deadlines.clone(), pool.clone(), Bounds::of(&config, 1));
     let (discovery, told) = watch::channel(config.discovery);
-    let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told);
+    let backoff = Backoff::new(config.seed, config.setup.askers());
+    let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told, backoff);
     let limits = config.limits;
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool.clone(), limits.connections(1));
     let handover = Handover::new(frontend.clone(), deadlines.clone(), address, Rc::downgrade(&listener), {
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -1,5 +1,6 @@
 //! The server table: discovery's list of backend servers, followed over a watch that is kept open.
 
+use super::backoff::{Backoff, Watched};
 use super::codec::{ClientCodec, Outgoing, Piece, ReadError};
 use super::deadlines::Deadlines;
 use super::ending::{Ending, Side};
@@ -22,14 +23,10 @@
 /// A line comes every 2 s; without one for this long the watch is taken for dead.
 const SILENCE: Duration = Duration::from_millis(3_000);
 /// The whole list comes at once where discovery has one to give; without it this long another
-/// connection is tried.
-const ANSWER: Duration = Duration::from_millis(1_000);
+/// connection is tried. A call may wait its turn for 2 s, and one given up is one more to answer.
+const ANSWER: Duration = Duration::from_millis(3_000);
 /// How long the connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(500);
-/// The first pause before another watch, doubled up to the longest. That stays under the time within
-/// which sends to a leaving server have to stop: the agent may know what we don't.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// A line with the whole list holds this much at most.
 const LONGEST_LINE: usize = 8 * 1024 * 1024;
 
@@ -117,6 +114,7 @@
     deadlines: Rc<Deadlines>,
     pool: Rc<Pool>,
     discovery: watch::Receiver<SocketAddr>,
+    backoff: Backoff,
 }
 
 type Connection = Framed<TcpStream, ClientCodec>;
@@ -136,18 +134,19 @@
         deadlines: Rc<Deadlines>,
         pool: Rc<Pool>,
         discovery: watch::Receiver<SocketAddr>,
+        backoff: Backoff,
     ) -> Self {
-        ServerTable { exchange, deadlines, pool, discovery }
+        ServerTable { exchange, deadlines, pool, discovery, backoff }
     }
 
     /// Start from the list as last held and keep a watch open for as long as the node runs.
-    pub async fn follow(self, known: Listing) {
+    pub async fn follow(mut self, known: Listing) {
         let mut held = Held { revision: Some(known.revision), lines: 0 };
         if let Err(e) = self.apply(Listing { complete: true, ..known }, &mut held) {
             warn!("the list as last held: {e}");
         }
         let mut told = self.discovery.clone();
-        let mut pause = FIRST_PAUSE;
+        self.deadlines.after(self.backoff.pause(Watched::Never)).await;
         loop {
             held.lines = 0;
             let discovery = *told.borrow_and_update();
@@ -157,19 +156,21 @@
                 ending = self.watch(discovery, &mut held) => ending,
             };
             ending.log(Side::ServerTable, discovery, held.lines);
-            if held.lines > 0 {
-                pause = FIRST_PAUSE;
-            }
+            let watched = match ending {
+                Ending::Busy => Watched::Busy,
+                _ if held.lines > 0 => Watched::Lists,
+                _ => Watched::Nothing,
+            };
             // The same changes would come again: ask for the whole list.
             let mut anew = matches!(ending, Ending::Malformed | Ending::Moved);
             if ending != Ending::Moved {
+                let pause = self.backoff.pause(watched);
                 tokio::select! {
                     biased;
                     () = moved(&mut told) => anew = true,
                     () = self.deadlines.after(pause) => {}
                 }
             }
-            pause = (pause * 2).min(LONGEST_PAUSE);
             if anew {
                 // Guards against building on another discovery's revisions: they mean nothing here.
                 // Until its list has come, the one we hold stays.
@@ -251,6 +252,8 @@
             () = self.deadlines.after(patience) => return Err(Ending::Silent),
         };
         match piece {
+            // Not ours to blame: the list held stays what the next watch builds on.
+            Some(Ok(Piece::Head { status: 429 | 503, .. })) => Err(Ending::Busy),
             Some(Ok(Piece::Head { status, .. })) if status != 200 => {
                 warn!("discovery answered with {status}");
                 Err(Ending::Malformed)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -756,3 +756,24 @@
     assert_eq!(client.message().body, "1");
     assert!(servers.iter().all(Party::is_left_alone));
 }
+
+/// A discovery that has too much to do is asked again for changes only, never for its whole list.
+#[rstest]
+#[case::unavailable(503)]
+#[case::too_many(429)]
+fn a_busy_discovery_is_asked_for_changes_only(#[case] status: u16) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = config(&[server.address]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let node = Node::start(&config);
+    for _ in 0..3 {
+        let mut peer = discovery.accept();
+        assert_eq!(peer.message().first, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+        peer.send(&format!("HTTP/1.1 {status} Busy\r\nContent-Length: 0\r\n\r\n"));
+        node.logs("reason=busy");
+    }
+    let (mut watch, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+    watch.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 42");
+}
