Let the cold budget follow the capacity that the list tells

The floor of the budget (balance.rs, cold_rate) was half the limit for a single core, whatever the server's size.

Change: the floor counts the capacity that the list tells; where it tells none, one core as before.

A test has 100 schedulers fill one cold worker: under the limit in every window, and it fails without the change.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -444,11 +444,10 @@
         }
         let Some(held) = self.requests.get_mut(&id).filter(|h| h.round > 0) else { return };
         held.unheard = held.unheard.saturating_sub(1);
-        let none = held.unheard == 0;
         let free = status == Status::Ok && report.free.is_some_and(|f| f > 0.5);
         if free && self.takes(&self.workers[&worker], &self.requests[&id], false) {
             self.send(id, worker, out);
-        } else if none {
+        } else if self.requests[&id].unheard == 0 {
             self.ask(id, out);
         }
     }
@@ -857,14 +856,15 @@
         from + (1.0 - from) * age.max(0.0)
     }
 
-    /// Work a microsecond that we may send to a cold worker: what our own completions put on a
-    /// warm worker of its size, or half our part of the limit for a single core if that is more,
-    /// times its part. The sum over schedulers stays under the limit without any agreement.
+    /// Work a microsecond that we may send to a cold worker: what our own completions put on a warm
+    /// worker of its size, or half our part of the limit for its capacity (one core, where the list
+    /// tells none) if that is more, times its part. So the sum over schedulers stays under the limit.
     fn cold_rate(&self, w: &Worker) -> f64 {
         let done: f64 = self.lanes.iter().map(|l| l.done.per_micro(self.now, self.set.span())).sum();
         let own = done / self.size * self.mean_work() * w.member.scale / self.scale.max(0.001);
         let sharers = (self.set.instances.max(1) * self.set.parts.max(1)) as f64;
-        let floor = 0.5 * self.set.fall_multiple / sharers;
+        let cores = if self.set.scale_is_capacity { w.member.scale.max(1.0) } else { 1.0 };
+        let floor = 0.5 * self.set.fall_multiple * cores / sharers;
         self.cold_part(w) * own.max(floor)
     }
 
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -498,3 +498,35 @@
     }
     assert!(fulls <= 12 && here >= 40, "{fulls} turned away, {here} of the other served here");
 }
+
+/// A hundred schedulers that would all send to one cold worker keep within what it can take, and make use
+/// of it: their budget follows the capacity that the list tells.
+#[test]
+fn all_schedulers_together_fill_a_cold_worker_and_do_not_fell_it() {
+    let set = Settings { instances: 100, scale_is_capacity: true, ..settings() };
+    let started = S;
+    let mut sent: Vec<Micros> = Vec::new();
+    for seed in 0..100 {
+        let mut rig =
+            Rig { balancer: shorepath_core::Balancer::new(set.clone(), seed), now: S, wakes: vec![] };
+        rig.event(Event::Roster(vec![Member { started, ..member(0) }]));
+        for id in 0..110 {
+            let mut out = sends(&rig.ask(id, 0));
+            out.extend(sends(&rig.pass(75 * MS)));
+            sent.extend(out.iter().map(|_| rig.now));
+            out.iter().for_each(|s| drop(rig.started(s.0)));
+            rig.now += 75 * MS;
+            out.iter().for_each(|s| drop(rig.ended(s.0, 0, Status::Ok)));
+        }
+    }
+    // An unhinted job is held to be 75 ms of work until one has ended; four cores.
+    let (work, cores) = (75_000.0, 4.0);
+    let most = |from: Micros| {
+        let part = 0.2 + 0.8 * (from - started) as f64 / (10 * S) as f64;
+        let window = sent.iter().filter(|&&at| at >= from && at < from + set.fall_time).count() as f64;
+        window * work / (part * cores * set.fall_time as f64)
+    };
+    let loads: Vec<f64> = (2..16).map(|k| most(started + k * S / 2)).collect();
+    assert!(loads.iter().all(|load| *load < set.fall_multiple), "{loads:?}");
+    assert!(loads.iter().sum::<f64>() / loads.len() as f64 > 0.7, "{loads:?}");
+}
