--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clients;
 pub mod compare;
 pub mod experiment;
+pub mod fleet;
 pub mod load;
 pub mod plot;
 pub mod policy;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -38,6 +38,13 @@
         #[bpaf(positional("SCENARIO"))]
         file: PathBuf,
     },
+    /// Count over the logs of a fleet's nodes what they did; with `serve -v` dispatches, probes and answers, too
+    #[bpaf(command)]
+    Fleet {
+        /// The logs, one file a node
+        #[bpaf(positional("LOG"), some("a log has to be named"))]
+        logs: Vec<PathBuf>,
+    },
     /// Run an experiment over its grid; goes on where it was stopped
     #[bpaf(command)]
     Sweep {
@@ -381,6 +388,14 @@
             }
             return Ok(if r.broken > 0 { ExitCode::from(2) } else { ExitCode::SUCCESS });
         }
+        Command::Fleet { logs } => {
+            let mut fleet = shorepath_lab::fleet::Fleet::default();
+            for path in &logs {
+                let text = std::fs::read(path).map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
+                fleet.node(String::from_utf8_lossy(&text).lines());
+            }
+            say!("{}", serde_json::to_string_pretty(&(&fleet, fleet.news()))?);
+        }
         Command::Sweep { out, threads, json, file } => {
             if let Some(n) = threads {
                 let made = rayon::ThreadPoolBuilder::new().num_threads(n).build_global();
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -398,6 +398,7 @@
 
     fn answer(&mut self, id: RequestId, verdict: Verdict) {
         if let Some(taken) = self.open.remove(&id) {
+            debug!("answer {} {}", id.0, if verdict == Verdict::Failed { "failed" } else { "denied" });
             let _ = taken.answer.send(verdict);
         }
     }
