--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -348,6 +348,30 @@
         Setup { classes: classes.iter().map(class).collect(), ..Setup::default() }
     }
 
+    /// Without their number a node takes itself for the only one, which probes nobody and calls at once.
+    #[test]
+    fn settings_without_the_number_of_nodes_stand_for_one() {
+        let one = Setup { discovery: "on_request".to_string(), ..Setup::default() };
+        assert_eq!((one.read().0.instances, one.askers()), (1, 1));
+        let many = Setup { replicas_of_me: 100, ..one };
+        assert_eq!((many.read().0.instances, many.askers()), (100, 100));
+        let pushed = Setup { discovery: "pushed".to_string(), ..many };
+        assert_eq!((pushed.instances(), pushed.askers()), (100, 1));
+    }
+
+    /// A report's row is read by the fields that the settings name; what is missing is not known.
+    #[test]
+    fn reports_are_read_by_the_names_of_their_values() {
+        let report =
+            Reports { fields: vec!["x0".into(), "err_ps".into(), "concurrent".into()], how: "probe".into() };
+        let family_info = FamilyInfo { report_x0: "free slots".into(), ..FamilyInfo::default() };
+        let mut setup = Setup { report, family_info, ..Setup::default() };
+        assert_eq!(setup.report_row(&[1.0, 0.0, 3.0]), Report { free: Some(1.0), held: Some(3.0) });
+        assert_eq!(setup.report_row(&[1.0]), Report { free: Some(1.0), held: None });
+        setup.family_info.report_x0 = "free memory".into();
+        assert_eq!(setup.report_row(&[1.0, 0.0, 3.0]).free, None);
+    }
+
     /// A class keeps its number while its rules stay. With other rules it gets a fresh one while jobs
     /// hold the old; numbers that nothing holds are used again, or they would grow with each reload.
     #[test]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -391,7 +391,8 @@
         Command::Fleet { logs } => {
             let mut fleet = shorepath_lab::fleet::Fleet::default();
             for path in &logs {
-                let text = std::fs::read(path).map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
+                let text =
+                    std::fs::read(path).map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
                 fleet.node(String::from_utf8_lossy(&text).lines());
             }
             say!("{}", serde_json::to_string_pretty(&(&fleet, fleet.news()))?);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -777,3 +777,57 @@
     watch.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
     node.logs("server table 42");
 }
+
+/// A watch that is closed half-way through a line is asked for anew from the last whole one.
+#[rstest]
+fn a_watch_cut_off_inside_a_line_goes_on_from_the_last_whole_one() {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let mut config = config(&[old.address]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let node = Node::start(&config);
+    let (mut first, _) = watch(&discovery);
+    first.line(&listing(42, true, &[entry("s-new", new.address, "active")]));
+    node.logs("server table 42");
+    let rest = listing(43, true, &[entry("s-old", old.address, "active")]);
+    first.send(&format!("{:x}\r\n{}", rest.len() + 1, &rest[..rest.len() / 2]));
+    drop(first);
+    let (_second, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=42 HTTP/1.1");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = new.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(old.is_left_alone());
+}
+
+/// A small node among a hundred, before sixty servers that are all replaced at once: it probes and serves at
+/// the new ones, and sends nothing more to the old.
+#[rstest]
+fn sixty_servers_are_replaced_at_once_before_a_small_node() {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let mut config = config(&[old.address; 60]);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["limits"] = json!({"cores": 0.2, "memory_mb": 24, "sockets": 128});
+    let settings = &mut config["settings"];
+    settings["replicas_of_me"] = json!(100);
+    settings["report"] = json!({"how": "probe", "fields": ["x0", "err_ps", "concurrent"]});
+    settings["family_info"]["report_x0"] = json!("free slots");
+    settings["costs"] = json!({"probe": 0.01});
+    let node = Node::start(&config);
+    let (mut watch, _) = watch(&discovery);
+    let members: Vec<_> = (0..60).map(|n| entry(&format!("s-new-{n}"), new.address, "active")).collect();
+    watch.line(&listing(42, true, &members));
+    node.logs("server table 42: 60 entries");
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut peers = [new.accept(), new.accept()];
+    for peer in &mut peers {
+        assert_eq!(peer.message().first, "GET /_load HTTP/1.1");
+    }
+    let report = "TEXT x0=2, concurrent=0";
+    peers[1].send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len()));
+    assert_eq!(peers[1].id(), "a");
+    peers[1].serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(old.is_left_alone());
+}
