--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -211,8 +211,6 @@
 pub struct Member {
     /// The worker.
     pub worker: WorkerId,
-    /// A number of its own that is the same at every scheduler.
-    pub mark: u64,
     /// Its kind.
     pub kind: KindId,
     /// Its zone.
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -412,7 +412,7 @@
             Some(((w.report.held? - 1.0).max(0.0) / (self.pace(w) * self.cold_part(w)), *id))
         };
         let least = held.asked.iter().filter_map(told).min_by(|a, b| a.0.total_cmp(&b.0));
-        let wait = least.map_or(0.0, |l| l.0 * self.mean_work() / 2.0);
+        let wait = least.map_or(0.0, |l| l.0 * self.mean_work() / 2.0); // held to have two slots
         if least.is_some() && self.now + (wait + held.job.work) as Micros > held.job.due {
             self.answer_without_service(id, out);
         } else if let Some(worker) = least.map(|l| l.1).or_else(|| self.pick(held, lane)) {
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -201,6 +201,17 @@
     rig.event(Event::Probed { worker: WorkerId(worker), status: Status::Ok, report })
 }
 
+/// The two rounds of probes for a job, answered with no slot free and so many jobs held; who was probed, and
+/// what follows the last answer.
+fn two_busy_rounds(rig: &mut Rig, held: [f64; 4]) -> (Vec<u32>, Vec<Action>) {
+    let mut asked = probes(&rig.ask(1, 0));
+    tells(rig, asked[0], 0.0, held[0]);
+    asked.extend(probes(&tells(rig, asked[1], 0.0, held[1])));
+    tells(rig, asked[2], 0.0, held[2]);
+    let last = tells(rig, asked[3], 0.0, held[3]);
+    (asked, last)
+}
+
 /// A job waits for what the workers tell, and the first with a free slot gets it.
 #[test]
 fn a_free_slot_gets_the_job_that_it_was_probed_for() {
@@ -216,16 +227,9 @@
 #[test]
 fn without_a_free_slot_the_least_busy_gets_the_job() {
     let mut rig = probing(20);
-    let mut asked = probes(&rig.ask(1, 0));
-    tells(&mut rig, asked[0], 0.0, 4.0);
-    asked.extend(probes(&tells(&mut rig, asked[1], 0.0, 3.0)));
-    assert_eq!(
-        asked.iter().collect::<std::collections::BTreeSet<_>>().len(),
-        4,
-        "others are probed: {asked:?}"
-    );
-    tells(&mut rig, asked[2], 0.0, 2.0);
-    let actions = tells(&mut rig, asked[3], 0.0, 6.0);
+    let (asked, actions) = two_busy_rounds(&mut rig, [4.0, 3.0, 2.0, 6.0]);
+    let different = asked.iter().collect::<std::collections::BTreeSet<_>>().len();
+    assert_eq!(different, 4, "others are probed: {asked:?}");
     assert_eq!((sends(&actions), probes(&actions)), (vec![(1, asked[2])], vec![]));
     assert!(sends(&rig.pass(S / 2)).is_empty());
 }
@@ -234,11 +238,7 @@
 #[test]
 fn a_job_that_all_probed_would_start_too_late_is_denied_at_once() {
     let mut rig = probing(20);
-    let mut asked = probes(&rig.ask(1, 0));
-    tells(&mut rig, asked[0], 0.0, 40.0);
-    asked.extend(probes(&tells(&mut rig, asked[1], 0.0, 40.0)));
-    tells(&mut rig, asked[2], 0.0, 40.0);
-    assert!(refused(&tells(&mut rig, asked[3], 0.0, 40.0), 1));
+    assert!(refused(&two_busy_rounds(&mut rig, [40.0; 4]).1, 1));
 }
 
 /// Silence costs 45 ms at most, whatever is silent, and a worker out of reach is not probed again soon.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -50,8 +50,7 @@
         self.nodes += 1;
         let (mut newest, mut ran) = (0, BTreeSet::new());
         for line in lines {
-            let mut words = line.split_whitespace();
-            let at = words.next().and_then(|w| w.parse::<f64>().ok());
+            let at = line.split_whitespace().next().and_then(|w| w.parse::<f64>().ok());
             let text = ["INFO ", "DEBUG ", "WARN "].iter().find_map(|level| Some(line.split_once(level)?.1));
             let words: Vec<&str> = text.unwrap_or("").split_whitespace().collect();
             match words[..] {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use bpaf::{long, Bpaf, Parser};
 use indicatif::{ProgressBar, ProgressStyle};
+use serde_json::json;
 use shorepath_lab::compare::{self, paired};
 use shorepath_lab::experiment::{change, path_of, scenario_file, Experiment, ExperimentError, FIGURES};
 use shorepath_lab::load::{self, LoadError, Played};
@@ -395,7 +396,7 @@
                     std::fs::read(path).map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
                 fleet.node(String::from_utf8_lossy(&text).lines());
             }
-            say!("{}", serde_json::to_string_pretty(&(&fleet, fleet.news()))?);
+            say!("{}", serde_json::to_string_pretty(&json!({"counts": fleet, "news": fleet.news()}))?);
         }
         Command::Sweep { out, threads, json, file } => {
             if let Some(n) = threads {
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -129,7 +129,6 @@
     };
     Member {
         worker: WorkerId(server),
-        mark: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         kind: KindId(s.make.kind),
         zone: ZoneId(s.make.zone),
         cell: 0,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -329,6 +329,28 @@
     assert_eq!(client.message().status(), 503, "it never ran, so a deny is true");
 }
 
+/// A configuration with those backend servers and that discovery.
+fn following(servers: &[std::net::SocketAddr], discovery: &Party) -> serde_json::Value {
+    let mut config = config(servers);
+    config["discovery"] = json!(discovery.address.to_string());
+    config
+}
+
+/// Let a configuration be that of one node among a hundred that may probe.
+fn probing(config: &mut serde_json::Value) {
+    let settings = &mut config["settings"];
+    settings["replicas_of_me"] = json!(100);
+    settings["report"] = json!({"how": "probe", "fields": ["x0", "err_ps", "concurrent"]});
+    settings["family_info"]["report_x0"] = json!("free slots");
+    settings["costs"] = json!({"probe": 0.01});
+}
+
+/// The answer to a probe.
+fn load(free: u32, held: u32) -> String {
+    let text = format!("TEXT x0={free}, err_ps=nonsense, concurrent={held}");
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
 /// Discovery's side of a watch, up to the list that it begins with.
 fn watch(discovery: &Party) -> (Peer, String) {
     let mut watch = discovery.accept();
@@ -370,9 +392,7 @@
 #[rstest]
 fn the_watch_goes_on_from_the_last_revision_and_lists_replace() {
     let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
-    let mut config = config(&[old.address]);
-    config["discovery"] = json!(discovery.address.to_string());
-    let node = Node::start(&config);
+    let node = Node::start(&following(&[old.address], &discovery));
     let (mut first, request) = watch(&discovery);
     assert_eq!(request, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
     first.line("");
@@ -679,9 +699,7 @@
 #[rstest]
 fn a_server_that_moves_is_reached_at_its_new_address() {
     let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
-    let mut config = config(&[old.address]);
-    config["discovery"] = json!(discovery.address.to_string());
-    let node = Node::start(&config);
+    let node = Node::start(&following(&[old.address], &discovery));
     let (mut watch, _) = watch(&discovery);
     let mut client = node.ask("a", "/zone-plan");
     let mut backend = old.accept();
@@ -733,11 +751,7 @@
 fn servers_are_probed_and_the_one_with_a_free_slot_gets_the_job() {
     let servers = [Party::new(), Party::new()];
     let mut config = config(&[servers[0].address, servers[1].address]);
-    let settings = &mut config["settings"];
-    settings["replicas_of_me"] = json!(100);
-    settings["report"] = json!({"how": "probe", "fields": ["x0", "err_ps", "concurrent"]});
-    settings["family_info"]["report_x0"] = json!("free slots");
-    settings["costs"] = json!({"probe": 0.01});
+    probing(&mut config);
     let node = Node::start(&config);
     let mut client = node.client();
     client.send(&job("a", "/zone-plan", "5000m", ""));
@@ -745,12 +759,8 @@
     for peer in &mut peers {
         assert_eq!(peer.message().first, "GET /_load HTTP/1.1");
     }
-    let report = |free: u32, held: u32| {
-        let text = format!("TEXT x0={free}, err_ps=nonsense, concurrent={held}");
-        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
-    };
-    peers[1].send(&report(0, 3));
-    peers[0].send(&report(1, 1));
+    peers[1].send(&load(0, 3));
+    peers[0].send(&load(1, 1));
     assert_eq!(peers[0].id(), "a");
     peers[0].serve("a", "1");
     assert_eq!(client.message().body, "1");
@@ -763,9 +773,7 @@
 #[case::too_many(429)]
 fn a_busy_discovery_is_asked_for_changes_only(#[case] status: u16) {
     let (server, discovery) = (Party::new(), Party::new());
-    let mut config = config(&[server.address]);
-    config["discovery"] = json!(discovery.address.to_string());
-    let node = Node::start(&config);
+    let node = Node::start(&following(&[server.address], &discovery));
     for _ in 0..3 {
         let mut peer = discovery.accept();
         assert_eq!(peer.message().first, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
@@ -782,9 +790,7 @@
 #[rstest]
 fn a_watch_cut_off_inside_a_line_goes_on_from_the_last_whole_one() {
     let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
-    let mut config = config(&[old.address]);
-    config["discovery"] = json!(discovery.address.to_string());
-    let node = Node::start(&config);
+    let node = Node::start(&following(&[old.address], &discovery));
     let (mut first, _) = watch(&discovery);
     first.line(&listing(42, true, &[entry("s-new", new.address, "active")]));
     node.logs("server table 42");
@@ -806,14 +812,9 @@
 #[rstest]
 fn sixty_servers_are_replaced_at_once_before_a_small_node() {
     let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
-    let mut config = config(&[old.address; 60]);
-    config["discovery"] = json!(discovery.address.to_string());
+    let mut config = following(&[old.address; 60], &discovery);
     config["limits"] = json!({"cores": 0.2, "memory_mb": 24, "sockets": 128});
-    let settings = &mut config["settings"];
-    settings["replicas_of_me"] = json!(100);
-    settings["report"] = json!({"how": "probe", "fields": ["x0", "err_ps", "concurrent"]});
-    settings["family_info"]["report_x0"] = json!("free slots");
-    settings["costs"] = json!({"probe": 0.01});
+    probing(&mut config);
     let node = Node::start(&config);
     let (mut watch, _) = watch(&discovery);
     let members: Vec<_> = (0..60).map(|n| entry(&format!("s-new-{n}"), new.address, "active")).collect();
@@ -824,8 +825,7 @@
     for peer in &mut peers {
         assert_eq!(peer.message().first, "GET /_load HTTP/1.1");
     }
-    let report = "TEXT x0=2, concurrent=0";
-    peers[1].send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len()));
+    peers[1].send(&load(2, 0));
     assert_eq!(peers[1].id(), "a");
     peers[1].serve("a", "1");
     assert_eq!(client.message().body, "1");
