--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use bpaf::Bpaf;
 use shorepath::net::config::{Config, ConfigError};
+use shorepath::net::Handing;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing::Level;
@@ -20,6 +21,10 @@
         /// Log what becomes of each dispatch, too
         #[bpaf(long, short)]
         verbose: bool,
+        /// Neither take the listening socket from a process that serves at the same address nor hand
+        /// it on: no Unix socket is opened
+        #[bpaf(long("no-handover"))]
+        no_handover: bool,
         /// The configuration, a JSON file
         #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
         config: Option<PathBuf>,
@@ -46,7 +51,7 @@
 
 fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
     match command {
-        Command::Serve { verbose, config } => {
+        Command::Serve { verbose, no_handover, config } => {
             let path = config.ok_or(ConfigError::Unnamed)?;
             let config = read(Some(&path))?;
             let level = if verbose { Level::DEBUG } else { Level::INFO };
@@ -63,7 +68,8 @@
                 .with_writer(writer)
                 .with_target(false)
                 .init();
-            shorepath::net::serve(config, move || Config::read_again(&path, variable))?;
+            let handing = if no_handover { Handing::Off } else { Handing::On };
+            shorepath::net::serve(config, handing, move || Config::read_again(&path, variable))?;
         }
         Command::Check { config } => {
             let config = read(config.as_deref())?;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -36,13 +36,25 @@
 
 /// Where the process that serves clients at that address is to be found by the next one; `None` if
 /// every process has an address of its own.
-fn meeting_place(listen: SocketAddr) -> Option<PathBuf> {
-    (listen.port() != 0).then(|| std::env::temp_dir().join(format!("shorepath-{listen}.sock")))
+fn meeting_place(listen: SocketAddr, handing: Handing) -> Option<PathBuf> {
+    let on = handing == Handing::On && listen.port() != 0;
+    on.then(|| std::env::temp_dir().join(format!("shorepath-{listen}.sock")))
+}
+
+/// Whether processes at one address hand the listening socket on to each other, by a Unix socket
+/// in `TMPDIR`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handing {
+    /// A new process takes the socket of the one that serves, and hands it to the next.
+    On,
+    /// No Unix socket at all: where those are refused or nobody comes to them; a new process at a
+    /// busy address fails to listen.
+    Off,
 }
 
 /// Be handed the listening socket, if there is a process that serves at that address.
-pub fn inherit(listen: SocketAddr) -> Option<Inheritance> {
-    let link = std::os::unix::net::UnixStream::connect(meeting_place(listen)?).ok()?;
+pub fn inherit(listen: SocketAddr, handing: Handing) -> Option<Inheritance> {
+    let link = std::os::unix::net::UnixStream::connect(meeting_place(listen, handing)?).ok()?;
     match receive(&link, listen) {
         Ok(listener) => Some((listener, link)),
         Err(e) => {
@@ -118,11 +130,11 @@
     pub fn new(
         frontend: Rc<Frontend>,
         deadlines: Rc<Deadlines>,
-        listen: SocketAddr,
+        (listen, handing): (SocketAddr, Handing),
         listener: Weak<TcpListener>,
         share: S,
     ) -> Self {
-        Handover { frontend, deadlines, place: meeting_place(listen), listener, share }
+        Handover { frontend, deadlines, place: meeting_place(listen, handing), listener, share }
     }
 
     /// Follow the process that has handed its socket over, if one has, and then hand it to the next,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 use door::Door;
 use exchange::Exchange;
 use frontend::{Claim, Frontend};
+pub use handover::Handing;
 use handover::Handover;
 use pool::{Buffer, Pool};
 use server_table::ServerTable;
@@ -85,10 +86,11 @@
 /// Serve until told to stop; `again` reads the configuration once more.
 pub fn serve(
     config: Config,
+    handing: Handing,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, again))
+    LocalSet::new().block_on(&runtime, run(config, handing, again))
 }
 
 /// Read the configuration again at each SIGHUP, for as long as the node runs.
@@ -130,6 +132,7 @@
 
 async fn run(
     mut config: Config,
+    handing: Handing,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
     // Guards against ending on SIGHUP, which the system does to a program that does not handle it;
@@ -137,7 +140,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let (listener, before) = match handover::inherit(config.listen) {
+    let (listener, before) = match handover::inherit(config.listen, handing) {
         Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
         None => (listen(config.listen).await?, None),
     };
@@ -159,15 +162,16 @@
     let table = ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told, backoff);
     let limits = config.limits;
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool.clone(), limits.connections(1));
-    let handover = Handover::new(frontend.clone(), deadlines.clone(), address, Rc::downgrade(&listener), {
-        let (exchange, backend, frontend) = (exchange.clone(), backend.clone(), frontend.clone());
-        move |parts| {
-            exchange.share(parts);
-            pool.share(parts);
-            frontend.bound(limits.connections(parts));
-            backend.bound(Bounds { connections: limits.connections(parts), ..backend.bounds() });
-        }
-    });
+    let handover =
+        Handover::new(frontend.clone(), deadlines.clone(), (address, handing), Rc::downgrade(&listener), {
+            let (exchange, backend, frontend) = (exchange.clone(), backend.clone(), frontend.clone());
+            move |parts| {
+                exchange.share(parts);
+                pool.share(parts);
+                frontend.bound(limits.connections(parts));
+                backend.bound(Bounds { connections: limits.connections(parts), ..backend.bounds() });
+            }
+        });
 
     let sweep = spawn_local({
         let deadlines = deadlines.clone();
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -321,3 +321,30 @@
     drop(new);
     assert_eq!(call(&Node::start(&config), READY), 200);
 }
+
+/// Where Unix sockets are refused, `--no-handover` opens none: nothing is published in `TMPDIR`, and a
+/// second process at a busy address fails to listen instead of taking over.
+#[rstest]
+fn without_handover_no_unix_socket_is_opened() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    let place =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("alone-{}", std::process::id()));
+    std::fs::create_dir_all(&place).unwrap();
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    config["listen"] = json!(free.to_string());
+    let words = [PROGRAM, "serve", "--no-handover"];
+    let node = Node::start_with_words(&words, &config, |command| {
+        command.env("TMPDIR", &place);
+    });
+    assert_eq!(node.address, free);
+    let mut client = node.client();
+    client.send(HEALTH);
+    assert_eq!(client.message().status(), 200);
+    assert_eq!(std::fs::read_dir(&place).unwrap().count(), 0, "nothing is published");
+    let second = command(&words, &config.to_string()).env("TMPDIR", &place).output().unwrap();
+    assert!(!second.status.success());
+    assert!(String::from_utf8_lossy(&second.stderr).contains(&free.to_string()));
+    client.send(HEALTH);
+    assert_eq!(client.message().status(), 200, "the first one serves on");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -87,7 +87,12 @@
 
     /// With more in its environment.
     pub fn start_with(config: &Value, prepare: impl Fn(&mut Command)) -> Node {
-        let mut command = command(&[PROGRAM, "serve", "-v"], &config.to_string());
+        Node::start_with_words(&[PROGRAM, "serve", "-v"], config, prepare)
+    }
+
+    /// By other words, with more in its environment.
+    pub fn start_with_words(words: &[&str], config: &Value, prepare: impl Fn(&mut Command)) -> Node {
+        let mut command = command(words, &config.to_string());
         prepare(&mut command);
         Node::spawn(command)
     }
