--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -398,7 +398,9 @@
 
     fn answer(&mut self, id: RequestId, verdict: Verdict) {
         if let Some(taken) = self.open.remove(&id) {
-            debug!("answer {} {}", id.0, if verdict == Verdict::Failed { "failed" } else { "denied" });
+            let left = taken.until.saturating_duration_since(Instant::now()).as_millis();
+            let how = if verdict == Verdict::Failed { "failed" } else { "denied" };
+            debug!("answer {} {how} attempts={} left_ms={left}", id.0, taken.attempts);
             let _ = taken.answer.send(verdict);
         }
     }
