Count denials before any dispatch and the spread of dispatches over servers

Change: `fleet` reads `attempts=` of the answers (serve -v) into `unsent`, and the dispatches' servers and seconds into `spread`: least, median and most dispatches a second at a backend server from its first to its last. The unit test covers both and a fleet without dispatches.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -25,11 +25,29 @@
     pub probes: BTreeMap<String, u64>,
     /// Answers that no backend server gave.
     pub answers: BTreeMap<String, u64>,
+    /// Of those, the ones given before any dispatch was made (logs that tell `attempts=`).
+    pub unsent: u64,
+    /// Dispatches by backend server and the second of their sending: how evenly the fleet uses its servers.
+    #[serde(skip)]
+    sent: BTreeMap<String, BTreeMap<u64, u64>>,
     /// Each list by its number: when each node first held it or a later one, in seconds.
     #[serde(skip)]
     heard: BTreeMap<u64, Vec<f64>>,
 }
 
+/// Dispatches a second at a backend server, over the servers that had any.
+#[derive(Debug, PartialEq, Serialize)]
+pub struct Spread {
+    /// Servers that were sent anything.
+    pub servers: usize,
+    /// The least, median and most of dispatches a second.
+    pub least: f64,
+    /// See `least`.
+    pub median: f64,
+    /// See `least`.
+    pub most: f64,
+}
+
 /// How late the nodes heard of lists that any of them had, in seconds.
 #[derive(Debug, PartialEq, Serialize)]
 pub struct News {
@@ -82,12 +100,34 @@
                 ["probe", "of", _, "ended", status, ..] => {
                     *self.probes.entry(status.to_string()).or_default() += 1
                 }
-                ["answer", _, verdict, ..] => *self.answers.entry(verdict.to_string()).or_default() += 1,
+                ["answer", _, verdict, ref more @ ..] => {
+                    *self.answers.entry(verdict.to_string()).or_default() += 1;
+                    self.unsent += u64::from(more.first() == Some(&"attempts=0"));
+                }
+                ["dispatch", _, "to", server] => {
+                    let second = at.map_or(0, |at| at.max(0.0) as u64);
+                    *self.sent.entry(server.to_string()).or_default().entry(second).or_default() += 1;
+                }
                 _ => {}
             }
         }
     }
 
+    /// Dispatches a second at each backend server over the seconds from its first dispatch to its last,
+    /// sorted: the least, the median and the most. A server that came late and gets few shows at the
+    /// bottom. `None` without dispatch lines.
+    pub fn spread(&self) -> Option<Spread> {
+        let rates = self.sent.values().map(|s| {
+            let (first, last) =
+                (s.keys().next().copied().unwrap_or(0), s.keys().next_back().copied().unwrap_or(0));
+            s.values().sum::<u64>() as f64 / (last + 1 - first) as f64
+        });
+        let mut rates: Vec<f64> = rates.collect();
+        rates.sort_unstable_by(f64::total_cmp);
+        let (least, most) = (*rates.first()?, rates[rates.len() - 1]);
+        Some(Spread { servers: rates.len(), least, median: rates[rates.len() / 2], most })
+    }
+
     /// How late news came.
     pub fn news(&self) -> News {
         let mut late = Vec::new();
@@ -118,14 +158,23 @@
             1.1 2026-12-01T10:00:01Z DEBUG dispatch 7.0 ended Reset settled=false
             1.2 2026-12-01T10:00:01Z DEBUG dispatch 7.1 ended Ok settled=true
             1.3 2026-12-01T10:00:01Z DEBUG probe of 3 ended Ok Report { free: None, held: None }
-            1.4 2026-12-01T10:00:01Z DEBUG answer 8 denied";
+            1.4 2026-12-01T10:00:01Z DEBUG answer 8 denied
+            1.4 2026-12-01T10:00:01Z DEBUG answer 9 denied attempts=0 left_ms=4990
+            0.2 2026-12-01T10:00:00Z DEBUG dispatch 7.0 to 127.0.0.1:1
+            1.1 2026-12-01T10:00:01Z DEBUG dispatch 7.1 to 127.0.0.1:1
+            3.1 2026-12-01T10:00:03Z DEBUG dispatch 9.0 to 127.0.0.1:1
+            3.5 2026-12-01T10:00:03Z DEBUG dispatch 9.1 to 127.0.0.1:2";
         fleet.node(first.lines());
         let second = "2.5 2026-12-01T10:00:02Z  INFO server table 3: 60 entries, whole=true
             no log line at all\n\n9.9 INFO end\n1 INFO server table";
         fleet.node(second.lines());
         fleet.node("2026-12-01T10:00:00Z  INFO server table 4: 60 entries, whole=true".lines());
         assert_eq!((fleet.nodes, fleet.handshakes, fleet.lists), (3, 1, 3));
-        assert_eq!((fleet.ends["backend refused"], fleet.probes["Ok"], fleet.answers["denied"]), (1, 1, 1));
+        assert_eq!((fleet.ends["backend refused"], fleet.probes["Ok"], fleet.answers["denied"]), (1, 1, 2));
+        assert_eq!(fleet.unsent, 1);
+        // Three in four seconds at the first server, one in its only second at the one that came late.
+        assert_eq!(fleet.spread(), Some(Spread { servers: 2, least: 0.75, median: 1.0, most: 1.0 }));
+        assert_eq!(Fleet::default().spread(), None);
         assert_eq!((fleet.further, fleet.after_a_run, fleet.dispatches["Reset"]), (1, 1, 1));
         // Lists 1 to 3 came to the second node 2 s later and never to the third, which told no times.
         assert_eq!(fleet.news(), News { lists: 4, median: 0.0, longest: 2.0, never: 5 });
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -396,7 +396,12 @@
                     std::fs::read(path).map_err(|e| Failure::Usage(format!("{}: {e}", path.display())))?;
                 fleet.node(String::from_utf8_lossy(&text).lines());
             }
-            say!("{}", serde_json::to_string_pretty(&json!({"counts": fleet, "news": fleet.news()}))?);
+            say!(
+                "{}",
+                serde_json::to_string_pretty(
+                    &json!({"counts": fleet, "news": fleet.news(), "spread": fleet.spread()})
+                )?
+            );
         }
         Command::Sweep { out, threads, json, file } => {
             if let Some(n) = threads {
