Record a send once in the test of a cold worker's part

The test wrote the handling of a send twice, once after a request came and once after a job ended. It now gathers both kinds of action and records their sends in one place.

--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -538,22 +538,18 @@
     let set = Settings { fall_multiple: 4.0, ..settings() };
     let mut rig = Rig::new(set, 2);
     rig.event(Event::RosterChange(vec![Member { started: rig.now, ..member(2) }]));
-    let (mut to, mut out) = ([0u32; 3], Vec::new());
+    let (mut to, mut out) = ([0u32; 3], Vec::<(Micros, u64)>::new());
     for id in 0..600 {
         rig.now += 2 * MS;
-        for (id, worker) in sends(&rig.ask(id, 0)) {
+        let mut actions = rig.ask(id, 0);
+        while out.first().is_some_and(|o| o.0 <= rig.now) {
+            actions.extend(rig.ended(out.remove(0).1, 0, Status::Ok));
+        }
+        for (id, worker) in sends(&actions) {
             to[worker as usize] += 1;
             rig.started(id);
             out.push((rig.now + 5 * MS, id));
         }
-        while out.first().is_some_and(|o| o.0 <= rig.now) {
-            let (_, id) = out.remove(0);
-            for (id, worker) in sends(&rig.ended(id, 0, Status::Ok)) {
-                to[worker as usize] += 1;
-                rig.started(id);
-                out.push((rig.now + 5 * MS, id));
-            }
-        }
     }
     let part = to[2] as f64 / (to[0] + to[1]) as f64 * 2.0;
     assert!((0.3..0.6).contains(&part), "{to:?}: {part}");
