Pass Idempotency-Key on, read Work-Hint, and let a node with a door be replaced

Tests: the key, the missing key, nonsense hints, a hint that is heeded, no Unix socket without a door.

--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,7 @@
         #[bpaf(long, short)]
         verbose: bool,
         /// Neither take the listening socket from a process that serves at the same address nor hand
-        /// it on: no Unix socket is opened
+        /// it on: no Unix socket is opened, as without an operators' address
         #[bpaf(long("no-handover"))]
         no_handover: bool,
         /// The configuration, a JSON file
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -546,6 +546,9 @@
         if let Some(tenant) = &job.tenant {
             fields.push_str(&format!("Tenant: {tenant}\r\n"));
         }
+        if let Some(key) = &job.repeat_key {
+            fields.push_str(&format!("Idempotency-Key: {key}\r\n"));
+        }
         let request = Outgoing { method: "POST", target: &job.target, fields, body: Some(&job.body) };
         tokio::select! {
             biased;
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -31,6 +31,8 @@
     pub arrived: Instant,
     /// How long the client waits from then on.
     pub patience: Duration,
+    /// The client's guess at its work, in microseconds at speed 1.
+    pub hint: Option<Micros>,
     /// Slots that it takes.
     pub slots: u32,
     /// A client's repeat.
@@ -204,6 +206,13 @@
         self.inner.borrow().names.tenants.get(name).map(|n| TenantId(n as usize))
     }
 
+    /// Whether backend servers drop repeats of such requests by a key that each has to carry.
+    pub fn is_keyed(&self, class: ClassId) -> bool {
+        let inner = self.inner.borrow();
+        let class = inner.balancer.settings().classes.get(class.0);
+        class.is_some_and(|c| matches!(c.effect, Effect::Keyed { .. }))
+    }
+
     /// Whether the settings name tenants.
     pub fn has_tenants(&self) -> bool {
         self.inner.borrow().names.tenants.name(0).is_some()
@@ -271,7 +280,7 @@
             tenant: ask.tenant,
             key: ask.key.as_deref().map(|k| KeyId(mark(k))),
             time_left,
-            hint: None,
+            hint: ask.hint,
             slots: ask.slots,
             repeat: ask.repeat,
         }));
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -7,6 +7,7 @@
 use super::exchange::{Ask, Exchange, Ticket, Verdict};
 use super::pool::Pool;
 use super::Job;
+use crate::api::Micros;
 use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -690,6 +691,16 @@
         if self.exchange.has_tenants() && number.is_none() {
             return Err(malformed("Tenant names no tenant"));
         }
+        let repeat_key = field("idempotency-key")?.map(str::to_string);
+        if repeat_key.is_none() && self.exchange.is_keyed(class) {
+            return Err(malformed("no Idempotency-Key, which this class needs"));
+        }
+        // Guards against losing a request for a guess: one that makes no sense is none.
+        let guess = field("work-hint")?;
+        let hint = guess.and_then(work);
+        if let (Some(text), None) = (guess, hint) {
+            warn!("Work-Hint is no time in microseconds: '{text}'");
+        }
         let slots = figure(field("request-info")?.unwrap_or(""), "slots").unwrap_or(1.0);
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let key = pairs.filter(|(name, _)| *name == "obj").map(|(_, value)| value.to_string()).next();
@@ -699,12 +710,13 @@
             key,
             arrived: request.arrived,
             patience,
+            hint,
             slots: slots.clamp(1.0, 1e6) as u32,
             repeat: field("client-retry")? == Some("1"),
         };
         let host = field("host")?.unwrap_or("").to_string();
         let id = Claim::on(id, &self.ids).ok_or_else(|| Answer::text(409, "Request-Id is in use", true))?;
-        Ok((ask, Job { host, id, tenant, target: request.target, body: request.body }))
+        Ok((ask, Job { host, id, tenant, repeat_key, target: request.target, body: request.body }))
     }
 }
 
@@ -721,6 +733,13 @@
     Some(Duration::from_secs_f64(seconds.min(3600.0)))
 }
 
+/// A guess at the work of a job, in microseconds; `None` where it can't be one.
+fn work(text: &str) -> Option<Micros> {
+    // As long as the longest time that a client waits.
+    let guess = text.parse().ok().filter(|n: &f64| *n > 0.0 && *n <= 3.6e9);
+    guess.map(|n| n.max(1.0) as Micros)
+}
+
 /// One of the figures `name=value,name=value`.
 fn figure(text: &str, name: &str) -> Option<f64> {
     let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,6 +44,8 @@
     pub id: Claim,
     /// Its tenant, if it named one.
     pub tenant: Option<String>,
+    /// What backend servers drop its repeats by, if it carries that: passed on unchanged.
+    pub repeat_key: Option<String>,
     /// Path and query.
     pub target: String,
     /// The body.
@@ -135,6 +137,9 @@
     handing: Handing,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
+    // A process that replaces another has a door of its own, or nobody could ask it whether it is ready.
+    // Guards deployments without doors, which may refuse Unix sockets, against being handed one.
+    let handing = if config.mgmt.is_some() { handing } else { Handing::Off };
     // Guards against ending on SIGHUP, which the system does to a program that does not handle it;
     // first of all, and up to the last moment of a node that is stopping.
     let hangup = signal(SignalKind::hangup())?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -831,3 +831,72 @@
     assert_eq!(client.message().body, "1");
     assert!(old.is_left_alone());
 }
+
+/// Settings of a deployment whose second class is keyed, as far as they differ from the usual ones.
+fn keyed() -> (Node, Party) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["settings"]["classes"][1]["semantics"] = json!("guarded");
+    config["settings"]["classes"][1]["group"] = json!("zone");
+    (Node::start(&config), server)
+}
+
+/// What backend servers drop repeats by goes on as it came, with further dispatches too, and also where
+/// the class needs none. Guards against a keyed job that runs twice.
+#[rstest]
+#[case::keyed("/actuator-cmd")]
+#[case::not_keyed("/zone-plan")]
+fn the_key_of_repeats_goes_on_unchanged(#[case] target: &str) {
+    let (node, server) = keyed();
+    let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    let mut client = node.client();
+    let head = format!("Request-Timeout: 5000m\r\nIdempotency-Key: {key}");
+    client.send(&job("a", target, "5000m", "").replace("Request-Timeout: 5000m", &head));
+    let mut backend = server.accept();
+    assert_eq!(backend.message().field("Idempotency-Key"), Some(key));
+    backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(backend.message().field("Idempotency-Key"), Some(key));
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+}
+
+/// Without its key nobody could drop a repeat: such a job is none, and the node says why. A class that
+/// has none needs none.
+#[rstest]
+fn a_keyed_job_without_its_key_is_told_so() {
+    let (node, server) = keyed();
+    let answer = node.ask("a", "/actuator-cmd").message();
+    assert_eq!((answer.status(), answer.body.contains("Idempotency-Key")), (400, true));
+    let mut client = node.ask("b", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.message().field("Idempotency-Key"), None);
+    backend.serve("b", "1");
+    assert_eq!(client.message().body, "1");
+}
+
+/// A guess at the work that makes no sense is none: it leaves a line in the log, and the job is served.
+#[rstest]
+#[case::no_number("soon")]
+#[case::negative("-5")]
+#[case::huge("18446744073709551616")]
+#[case::not_a_number("NaN")]
+fn a_guess_that_makes_no_sense_costs_no_job(#[case] guess: &str) {
+    let (node, server) = pair();
+    let mut client = node.client();
+    let head = format!("Request-Timeout: 5000m\r\nWork-Hint: {guess}");
+    client.send(&job("a", "/zone-plan", "5000m", "").replace("Request-Timeout: 5000m", &head));
+    server.accept().serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    node.logs("Work-Hint is no time");
+}
+
+/// A guess is heeded: a job that by it can't be in time any more is denied at once, one without is sent.
+#[rstest]
+fn a_job_is_judged_by_the_guess_at_its_work() {
+    let (node, server) = pair();
+    let mut client = node.client();
+    let head = "Request-Timeout: 5000m\r\nWork-Hint: 60000000";
+    client.send(&job("a", "/zone-plan", "5000m", "").replace("Request-Timeout: 5000m", head));
+    assert_eq!(client.message().status(), 503);
+    assert!(server.is_left_alone());
+}
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -322,18 +322,26 @@
     assert_eq!(call(&Node::start(&config), READY), 200);
 }
 
-/// Where Unix sockets are refused, `--no-handover` opens none: nothing is published in `TMPDIR`, and a
-/// second process at a busy address fails to listen instead of taking over.
+/// Without an operators' address, or with `--no-handover`, no Unix socket is opened: nothing is published
+/// in `TMPDIR`, and a second process at a busy address fails to listen instead of taking over.
 #[rstest]
-fn without_handover_no_unix_socket_is_opened() {
+#[case::by_the_flag(&["--no-handover"], Some("127.0.0.1:0"))]
+#[case::without_a_door(&[], None)]
+fn without_handover_no_unix_socket_is_opened(#[case] flags: &[&str], #[case] door: Option<&str>) {
     let server = Party::new();
     let mut config = config(&[server.address]);
-    let place =
-        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("alone-{}", std::process::id()));
+    let place = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+        "alone-{}-{}",
+        flags.len(),
+        std::process::id()
+    ));
     std::fs::create_dir_all(&place).unwrap();
     let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     config["listen"] = json!(free.to_string());
-    let words = [PROGRAM, "serve", "--no-handover"];
+    if let Some(door) = door {
+        config["mgmt"] = json!(door);
+    }
+    let words = [&[PROGRAM, "serve"], flags].concat();
     let node = Node::start_with_words(&words, &config, |command| {
         command.env("TMPDIR", &place);
     });
