Let dearer work leave first: delta grows as a class is worth less for its work

Cause: delta was the wanted time alone, so under overload old reports and receipts tie with fresh payouts. Change: the wanted time is lengthened by the root of best worth over own worth, for a unit of work (settings: worth, value_by); no worth told changes nothing.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -82,6 +82,8 @@
     pub deadline: Micros,
     /// Share of the worth that a late answer still has.
     pub late_worth: f64,
+    /// What a request in time is worth, or a unit of its work (see [`Settings::by_work`]).
+    pub worth: f64,
     /// What a repeat would do.
     pub effect: Effect,
     /// The only kind of worker that runs it, if there is just one.
@@ -95,6 +97,7 @@
             stretch: 0.0,
             deadline: 0,
             late_worth: 0.0,
+            worth: 0.0,
             effect: Effect::Unsafe,
             kind: None,
         }
@@ -143,6 +146,8 @@
     pub classes: Vec<ClassSettings>,
     /// Tenants, indexed by [`TenantId`]; empty where there are none.
     pub tenants: Vec<TenantSettings>,
+    /// Worth is counted for each unit of work instead of each request.
+    pub by_work: bool,
     /// Worth of a request beyond its tenant's share, as a part of its class's worth.
     pub over_share_worth: f64,
     /// The list of workers must be subscribed to.
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -95,10 +95,7 @@
             Event::Started { id, attempt } | Event::StreamBegan { id, attempt } => self.started(id, attempt),
             Event::Progress { .. } => {}
             Event::IdleClosed { worker, place } => {
-                let idle = self.workers.get_mut(&worker).map(|w| &mut w.idle).filter(|i| !i.is_empty());
-                idle.into_iter().for_each(|i| {
-                    i.remove(place.min(i.len() - 1));
-                });
+                self.workers.get_mut(&worker).into_iter().for_each(|w| w.idle_closed(place));
             }
             Event::Outcome { id, attempt, status, settled } => {
                 self.outcome(id, attempt, status, settled, out)
@@ -208,14 +205,10 @@
     /// First tries of a tenant here, by the microsecond, since the start or over the span.
     fn asked_rate(&self, tenant: usize) -> f64 {
         let (span, age) = (self.set.span(), (self.now - self.demand.born.unwrap_or(self.now)) as f64);
-        let seen = (1.0 - (-age / span).exp()).max(self.eighth() as f64 / span);
+        let seen = (1.0 - (-age / span).exp()).max(self.set.eighth() as f64 / span);
         self.demand.asked[tenant].per_micro(self.now, span) / seen
     }
 
-    fn eighth(&self) -> Micros {
-        self.set.span() as Micros / 8
-    }
-
     fn mean_work(&self) -> f64 {
         self.work.iter().sum::<f64>() / self.work.len().max(1) as f64
     }
@@ -260,7 +253,7 @@
             return;
         }
         let tokens = self.tokens(tenant, size);
-        let (start, finish) = self.tag(lane, tenant, tokens, wanted);
+        let (start, finish) = self.tag(lane, tenant, tokens, self.delta(r.class, wanted));
         job.excess = tenant < self.set.tenants.len() && start > self.now + self.lanes[lane].offset;
         let most = self.most_attempts();
         let held = Held::new(job, start, finish, most);
@@ -287,6 +280,16 @@
         }
     }
 
+    /// Departure: delta is the wanted time, longer by the root of how much less than the best class a class
+    /// is worth for its work: of an overload's delay the dearer work bears less.
+    fn delta(&self, class: ClassId, wanted: Micros) -> Micros {
+        let per = |work: &f64| if self.set.by_work { 1.0 } else { work.max(1.0) };
+        let worth = |(c, w): (&ClassSettings, _)| (c.worth / per(w)).max(f64::MIN_POSITIVE);
+        let worths: Vec<f64> = self.set.classes.iter().zip(&self.work).map(worth).collect();
+        let best = worths.iter().copied().fold(0.0, f64::max);
+        (wanted as f64 * (best / worths[class.0]).min(100.0).sqrt()) as Micros
+    }
+
     /// Update the tenant's bucket and give the request its start and finish tag.
     fn tag(&mut self, lane: usize, tenant: usize, size: f64, delta: Micros) -> (Micros, Micros) {
         let rho = self.rho(lane, tenant);
@@ -512,7 +515,7 @@
         let left = (held.job.due - self.now) as f64;
         let weight = |w: &Worker| {
             // A hinted job would end too late there: taken if all drawn are like that.
-            let recent = w.sign > 0 && self.now - w.sign < self.eighth();
+            let recent = w.sign > 0 && self.now - w.sign < self.set.eighth();
             let far = w.member.zone != self.set.zone;
             let wait = if recent { w.wait as f64 } else { l.wait[usize::from(far)] };
             let slow = held.job.hint && wait + held.job.work / self.pace(w) > left;
@@ -915,11 +918,8 @@
 
     /// Whether this end proves that the attempt never ran.
     fn never_ran(&self, status: Status) -> bool {
-        match status {
-            Status::Full => !self.set.full_may_have_run,
-            Status::ConnectFailed | Status::Moot => true,
-            _ => false,
-        }
+        let full = status == Status::Full && !self.set.full_may_have_run;
+        full || matches!(status, Status::ConnectFailed | Status::Moot)
     }
 
     /// Whether one more attempt of the request may go to this worker at all.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -22,6 +22,7 @@
     replicas_of_me: u32,
     report: Reports,
     rules: Rules,
+    value_by: String,
     weights: String,
     zone: String,
 }
@@ -49,6 +50,7 @@
     late_worth: f64,
     semantics: String,
     target_ms: f64,
+    worth: f64,
 }
 
 #[derive(Clone, Debug, Deserialize, Default, PartialEq)]
@@ -285,6 +287,7 @@
         stretch: c.aim_stretch.or(f.class_stretch.get(i).copied()).unwrap_or(0.0),
         deadline: micros(c.deadline_ms),
         late_worth: c.late_worth,
+        worth: c.worth,
         effect: match c.semantics.as_str() {
             "free" => Effect::Safe,
             "guarded" => Effect::Keyed {
@@ -310,6 +313,7 @@
             .iter()
             .map(|p| TenantSettings { share: p.portion, quota_per_s: p.quota_rps })
             .collect(),
+        by_work: setup.value_by == "work",
         over_share_worth: setup.over_share_worth,
         must_subscribe: setup.discovery == "on_request",
         tells_start: f.tells_start,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -199,6 +199,10 @@
 }
 
 impl Settings {
+    /// An eighth of the span.
+    pub(crate) fn eighth(&self) -> Micros {
+        self.span() as Micros / 8
+    }
     /// Add the lanes and buckets that are missing. A tenant more takes the place of "none", so that what
     /// is counted under a number stays there.
     pub(crate) fn furnish(&self, lanes: &mut Vec<Lane>) {
@@ -322,6 +326,12 @@
     pub fn waits(&self) -> bool {
         self.unstarted > self.in_flight.saturating_sub(self.unstarted) / 4
     }
+    /// An idle connection there has ended, the one in that place by its age.
+    pub fn idle_closed(&mut self, place: usize) {
+        if let Some(last) = self.idle.len().checked_sub(1) {
+            self.idle.remove(place.min(last));
+        }
+    }
     /// It is probed for a request.
     pub fn probe(&mut self, held: &mut Held, id: RequestId) {
         self.asked = Some(id);
--- a/crates/core/tests/further.rs
+++ b/crates/core/tests/further.rs
@@ -316,6 +316,32 @@
     assert!(refusals(4) > 3, "{}", refusals(4));
 }
 
+/// Of two classes that wait, the one that is worth more for its work leaves first, though its jobs may take as
+/// long to come; where worth counts by work, a long class is not held back for being long.
+#[test]
+fn what_is_worth_more_for_its_work_leaves_first() {
+    let first = |worths: [f64; 2], by_work: bool| {
+        let mut set = settings();
+        (set.instances, set.by_work) = (1, by_work);
+        for (class, worth) in set.classes.iter_mut().zip(worths) {
+            (class.worth, class.deadline) = (worth, 20 * S);
+        }
+        set.classes[0].aim = 200 * MS;
+        let mut rig = Rig::new(set, 1);
+        assert_eq!(sends(&rig.ask(0, 1)).len(), 1);
+        for id in 2..10 {
+            rig.ask(id, usize::from(id >= 6)); // the first class asks first
+        }
+        let out = [rig.started(0), rig.ended(0, 0, Status::Ok)].concat();
+        sends(&out)[0].0
+    };
+    // By its aim the second class comes first, unless the first is worth much more.
+    assert!(first([1.0, 1.0], true) >= 6);
+    assert!(first([50.0, 1.0], true) < 6);
+    assert!(first([0.0, 0.0], true) >= 6, "where no worth is told");
+    assert!(first([8.0, 1.0], true) < 6 && first([8.0, 4.5], false) >= 6);
+}
+
 /// The window starts at our part of one job a worker, not at two.
 #[test]
 fn the_first_window_is_the_part_of_one_job_a_worker() {
