--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -18,6 +18,7 @@
         stretch: 2.0,
         deadline: 5_000 * MS,
         late_worth: 0.3,
+        worth: 1.0,
         effect,
         kind: None,
     };
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -567,6 +567,7 @@
                     stretch: c.stretch,
                     deadline: c.give_up,
                     late_worth: c.late,
+                    worth: c.worth,
                     effect: c.effect,
                     kind: None::<KindId>,
                 })
