--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -242,6 +242,11 @@
         Peer::new(self.came.recv_timeout(LONG).expect("nobody came"))
     }
 
+    /// Whoever has connected already.
+    pub fn came(&self) -> Option<Peer> {
+        self.came.try_recv().ok().map(Peer::new)
+    }
+
     pub fn is_left_alone(&self) -> bool {
         self.came.try_recv().is_err()
     }
