Add fleet-wide budgets' choices: division, ledger, holder and meter, model-checked

Need: parts of budgets that nodes guess from the list may exceed the whole when nodes die, return or are cut off. Change: crates/budgets, choices only: max-min fair division in whole units with floors, bands and bounded moves; a ledger that a divider and whoever takes over from it keep; a holder that counts from its own asking; a meter without rounding.

--- /dev/null
+++ b/crates/budgets/src/holder.rs
@@ -0,0 +1,87 @@
+//! What a node may use now, by the grants that it was given.
+
+use crate::{Grant, Life, Micros, Term};
+use std::collections::VecDeque;
+
+/// Askings that may be out; an answer to an older one is as good as lost.
+const ASKED: usize = 8;
+
+/// One life's side of a budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holder {
+    life: Life,
+    term: Term,
+    /// What it may use with or without a grant; the operators' file counts that inside the whole. It belongs to the one
+    /// process that has the node's address.
+    reserve: u64,
+    asked: VecDeque<(u64, Micros)>,
+    count: u64,
+    held: Option<(Grant, Micros)>,
+    /// Grants up to this number are not used any more, whatever comes.
+    returned: u64,
+}
+
+impl Holder {
+    /// One that has only its reserve.
+    pub fn new(life: Life, reserve: u64, term: Term) -> Holder {
+        Holder { life, term, reserve, asked: VecDeque::new(), count: 0, held: None, returned: 0 }
+    }
+
+    /// Ask for a grant, now: its time counts from here, so that a grant that was long on the way is short. The number that
+    /// the answer has to name.
+    pub fn ask(&mut self, now: Micros) -> u64 {
+        self.count += 1;
+        if self.asked.len() == ASKED {
+            self.asked.pop_front();
+        }
+        self.asked.push_back((self.count, now));
+        self.count
+    }
+
+    /// A grant has come. Whether it is gone by from now on; one that is for another life, older than what is held, given
+    /// back, or over already, is not.
+    pub fn granted(&mut self, grant: Grant, now: Micros) -> bool {
+        let Some(&(_, asked)) = self.asked.iter().find(|(n, _)| *n == grant.answers) else { return false };
+        let until = asked + self.term.of_holder();
+        let newer = grant.number > self.returned && self.held.is_none_or(|(h, _)| grant.number > h.number);
+        if grant.life != self.life || !newer || now >= until {
+            return false;
+        }
+        self.held = Some((grant, until));
+        true
+    }
+
+    /// Units that may be used now, of a second or at once. A process that stood still, and wakes, asks this before it acts.
+    pub fn usable(&self, now: Micros) -> u64 {
+        // Where the clock was set back the end has not moved: time since the asking can't be negative.
+        let holds = |(_, until): &(Grant, Micros)| now < *until && now >= until - self.term.of_holder();
+        self.held
+            .as_ref()
+            .filter(|h| holds(h))
+            .map_or(self.reserve, |(g, _)| g.amount.saturating_add(self.reserve))
+    }
+
+    /// The grant that is gone by, while it holds.
+    pub fn grant(&self, now: Micros) -> Option<Grant> {
+        self.held.filter(|(_, until)| now < *until).map(|(g, _)| g)
+    }
+
+    /// When it has to have another one.
+    pub fn until(&self) -> Option<Micros> {
+        self.held.map(|(_, until)| until)
+    }
+
+    /// Leave: nothing of any grant is used from now on. The number up to which that holds.
+    pub fn give_back(&mut self) -> u64 {
+        if let Some((grant, _)) = self.held.take() {
+            self.returned = self.returned.max(grant.number);
+        }
+        self.asked.clear();
+        self.returned
+    }
+
+    /// How much is in use beyond what may be; nothing of it is cut off, and nothing new begins meanwhile.
+    pub fn debt(&self, in_use: u64, now: Micros) -> u64 {
+        in_use.saturating_sub(self.usable(now))
+    }
+}
--- /dev/null
+++ b/crates/budgets/src/ledger.rs
@@ -0,0 +1,159 @@
+//! What the divider has granted, and what it may not grant again yet.
+//!
+//! Entries are agreed on by the fleet before they count (how is not this module's concern), so every divider has the same
+//! ledger. Only the times are its own: a divider that takes over counts every grant from the moment at which it took over,
+//! which is later than its holder did.
+
+use crate::{Grant, Life, Micros, Term};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Out {
+    number: u64,
+    amount: u64,
+    until: Micros,
+}
+
+/// Where the units of a budget are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    /// All of them.
+    pub whole: u64,
+    /// Kept for nodes without a grant.
+    pub reserved: u64,
+    /// Taken for used by lives that were heard of lately.
+    pub granted: u64,
+    /// Taken for used by lives that are thought dead, until their grants have surely ended.
+    pub in_doubt: u64,
+    /// What can be granted now.
+    pub free: u64,
+    /// How much more is taken for used than the whole allows, since that was lowered.
+    pub debt: u64,
+}
+
+/// One budget's ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    term: Term,
+    whole: u64,
+    reserved: u64,
+    last: u64,
+    out: BTreeMap<Life, Vec<Out>>,
+    dead: BTreeMap<Life, ()>,
+}
+
+impl Ledger {
+    /// Nothing granted yet. `reserved` units are kept for nodes that have no grant, all nodes together; they are counted
+    /// inside the whole.
+    pub fn new(whole: u64, reserved: u64, term: Term) -> Ledger {
+        Ledger {
+            term,
+            whole,
+            reserved: reserved.min(whole),
+            last: 0,
+            out: BTreeMap::new(),
+            dead: BTreeMap::new(),
+        }
+    }
+
+    /// What a life has to be taken to use: the greatest of its grants, as it may not have heard of the last one.
+    pub fn charge(&self, life: Life) -> u64 {
+        self.out.get(&life).and_then(|all| all.iter().map(|o| o.amount).max()).unwrap_or(0)
+    }
+
+    fn charged(&self) -> u64 {
+        self.out.keys().fold(0, |sum, life| sum.saturating_add(self.charge(*life)))
+    }
+
+    /// Where all units are.
+    pub fn account(&self) -> Account {
+        let (whole, reserved, charged) = (self.whole, self.reserved, self.charged());
+        let in_doubt = self.dead.keys().map(|life| self.charge(*life)).sum();
+        let used = reserved.saturating_add(charged);
+        let granted = charged - in_doubt;
+        let (free, debt) = (whole.saturating_sub(used), used.saturating_sub(whole));
+        Account { whole, reserved, granted, in_doubt, free, debt }
+    }
+
+    /// The grant that would give a life so much, or as much of it as the others leave of the whole by all that they have to be
+    /// taken to use. It counts once the fleet has agreed on it, see [`Ledger::enter`].
+    pub fn offer(&self, life: Life, wanted: u64, answers: u64) -> Grant {
+        // Not what it has itself and what is free: a divider that took over counts grants that are long over, and would give
+        // a life its own old part although another has that by now (found by the model).
+        let others = self.charged() - self.charge(life);
+        let most = self.whole.saturating_sub(self.reserved).saturating_sub(others);
+        Grant { life, number: self.last + 1, amount: wanted.min(most), answers }
+    }
+
+    /// The fleet has agreed on a grant; this divider knows of it now. One that was agreed on before is entered once.
+    pub fn enter(&mut self, grant: Grant, now: Micros) {
+        if grant.number <= self.last {
+            return;
+        }
+        self.last = grant.number;
+        let until = now + self.term.of_divider();
+        self.dead.remove(&grant.life);
+        let all = self.out.entry(grant.life).or_default();
+        all.push(Out { number: grant.number, amount: grant.amount, until });
+    }
+
+    /// A life has said that it goes by that grant: it never goes back to an earlier one.
+    pub fn taken(&mut self, life: Life, number: u64) {
+        if let Some(all) = self.out.get_mut(&life).filter(|all| all.iter().any(|o| o.number == number)) {
+            all.retain(|o| o.number >= number);
+        }
+        self.dead.remove(&life);
+    }
+
+    /// A life has said that it uses nothing of that grant any more, nor of earlier ones, and never will.
+    pub fn returned(&mut self, life: Life, number: u64) {
+        if let Some(all) = self.out.get_mut(&life) {
+            all.retain(|o| o.number > number);
+        }
+        self.tidy();
+    }
+
+    /// A life is thought dead, or heard of again. That frees nothing: it may only be cut off.
+    pub fn doubt(&mut self, life: Life, dead: bool) {
+        if dead && self.out.contains_key(&life) {
+            self.dead.insert(life, ());
+        } else {
+            self.dead.remove(&life);
+        }
+    }
+
+    /// Grants that have surely ended by now are over. When the next one will be.
+    pub fn expire(&mut self, now: Micros) -> Option<Micros> {
+        self.out.values_mut().for_each(|all| all.retain(|o| o.until > now));
+        self.tidy();
+        self.out.values().flatten().map(|o| o.until).min()
+    }
+
+    /// This divider takes over from another: it doesn't know since when grants hold, only that they were given before now.
+    pub fn take_over(&mut self, now: Micros) {
+        let until = now + self.term.of_divider();
+        self.out.values_mut().flatten().for_each(|o| o.until = until);
+    }
+
+    /// The operators' file has another whole, or another reserve. What is granted stays granted.
+    pub fn resize(&mut self, whole: u64, reserved: u64) {
+        (self.whole, self.reserved) = (whole, reserved.min(whole));
+    }
+
+    /// What may be divided among lives that are heard of: the whole less the reserve and what is in doubt.
+    pub fn to_divide(&self) -> u64 {
+        let a = self.account();
+        a.whole.saturating_sub(a.reserved).saturating_sub(a.in_doubt)
+    }
+
+    /// All lives that have to be taken to use something.
+    pub fn lives(&self) -> impl Iterator<Item = Life> + '_ {
+        self.out.keys().copied()
+    }
+
+    fn tidy(&mut self) {
+        self.out.retain(|_, all| !all.is_empty());
+        let out = &self.out;
+        self.dead.retain(|life, ()| out.contains_key(life));
+    }
+}
--- /dev/null
+++ b/crates/budgets/src/lib.rs
@@ -0,0 +1,75 @@
+//! Fleet-wide budgets, choices only: no I/O, no clock, no randomness.
+//!
+//! A budget is a named whole: so many units a second, or so many in use at once. A divider grants parts of it to nodes for a
+//! time. What holds at every instant, whatever is lost, late, doubled or cut off: the sum of what all nodes may still use is
+//! at most the whole. It rests on one bound, that no clock gains or loses more than a stated part of real time; clocks need not
+//! agree. The argument is the one of leases ("Leases: an efficient fault-tolerant mechanism for distributed file cache
+//! consistency", Gray and Cheriton, section 2), with the drift on both sides.
+//!
+//! - [`divide`]: which node should have how much;
+//! - [`ledger`]: what the divider has granted and can't grant again yet;
+//! - [`holder`]: what a node may use now;
+//! - [`meter`]: keeping to a part that is so many a second.
+
+pub mod divide;
+pub mod holder;
+pub mod ledger;
+pub mod meter;
+
+/// A point in time on one's own clock, or a length of time, in microseconds.
+pub type Micros = i64;
+
+const MILLION: u32 = 1_000_000;
+
+/// A node, by its place in the operator's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeId(pub u32);
+
+/// One life of a node: a process from its start to its end. Two processes under one name have different ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life {
+    /// The node.
+    pub node: NodeId,
+    /// Which of its lives; drawn at the start, never used twice.
+    pub incarnation: u64,
+}
+
+/// For how long grants hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Term {
+    /// The length of a grant, in microseconds of real time.
+    pub length: Micros,
+    /// A clock gains or loses this many millionths of real time at most.
+    pub drift_ppm: u32,
+    /// What was begun under a grant may be in use for this long after its end: the longest job, for budgets of what is in use
+    /// at once; 0 for budgets by the second.
+    pub longest: Micros,
+}
+
+impl Term {
+    /// How long a holder may begin something under a grant, on its own clock, from the moment at which it asked.
+    pub fn of_holder(&self) -> Micros {
+        let kept = i128::from(MILLION.saturating_sub(self.drift_ppm));
+        (i128::from(self.length) * kept / i128::from(MILLION)) as Micros
+    }
+
+    /// How long a divider has to take a grant for used, on its own clock, from the moment at which it knew of it.
+    pub fn of_divider(&self) -> Micros {
+        let gained = i128::from(self.length + self.longest) * i128::from(self.drift_ppm);
+        let rounded = (gained + i128::from(MILLION) - 1) / i128::from(MILLION);
+        self.length + self.longest + rounded as Micros
+    }
+}
+
+/// A part of a budget, granted to one life of a node. It takes the place of all with lower numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Grant {
+    /// Whose.
+    pub life: Life,
+    /// Its number; grows with each grant of the budget, whoever divides.
+    pub number: u64,
+    /// Units, of a second or in use at once.
+    pub amount: u64,
+    /// In which the asking was done that this answers, by the holder's own count.
+    pub answers: u64,
+}
