--- a/crates/budgets/tests/model.rs
+++ b/crates/budgets/tests/model.rs
@@ -122,8 +122,8 @@
         if s.tick < LAST_TICK {
             actions.push(Step::Tick);
         }
-        for n in 0..2 {
-            let next = ASKS[n].get(s.asked[n] as usize);
+        for (n, asks) in ASKS.iter().enumerate() {
+            let next = asks.get(s.asked[n] as usize);
             actions.extend(next.map(|wanted| Step::Ask(n, *wanted)));
             if s.holders[n].until().is_some() && n == 0 {
                 actions.push(Step::Leave(n));
