--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -6,12 +6,14 @@
 //! agree. The argument is the one of leases ("Leases: an efficient fault-tolerant mechanism for distributed file cache
 //! consistency", Gray and Cheriton, section 2), with the drift on both sides.
 //!
+//! - [`file`]: what the operator wants;
 //! - [`divide`]: which node should have how much;
 //! - [`ledger`]: what the divider has granted and can't grant again yet;
 //! - [`holder`]: what a node may use now;
 //! - [`meter`]: keeping to a part that is so many a second.
 
 pub mod divide;
+pub mod file;
 pub mod holder;
 pub mod ledger;
 pub mod meter;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use bpaf::Bpaf;
 use shorepath::net::config::{Config, ConfigError};
 use shorepath::net::Handing;
+use shorepath_budgets::file as budgets;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing::Level;
@@ -29,9 +30,12 @@
         #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
         config: Option<PathBuf>,
     },
-    /// Check a configuration and say what is wrong with it
+    /// Check a configuration, or an operator's file of budgets, and say what is wrong with it
     #[bpaf(command)]
     Check {
+        /// A file of budgets, S-expressions; without a configuration only that is checked
+        #[bpaf(long, argument("FILE"), optional)]
+        budgets: Option<PathBuf>,
         /// The configuration, a JSON file
         #[bpaf(long, short, argument("FILE"), env("ROUTER_CONFIG"), optional)]
         config: Option<PathBuf>,
@@ -49,6 +53,13 @@
     Config::read(path.ok_or(ConfigError::Unnamed)?, variable)
 }
 
+fn per(per: &budgets::Per) -> &'static str {
+    match per {
+        budgets::Per::Second { .. } => "a second",
+        budgets::Per::Moment { .. } => "at once",
+    }
+}
+
 fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
     match command {
         Command::Serve { verbose, no_handover, config } => {
@@ -71,9 +82,24 @@
             let handing = if no_handover { Handing::Off } else { Handing::On };
             shorepath::net::serve(config, handing, move || Config::read_again(&path, variable))?;
         }
-        Command::Check { config } => {
-            let config = read(config.as_deref())?;
-            println!("{}: would serve on {}", config.name, config.listen);
+        Command::Check { budgets, config } => {
+            if let Some(file) = &budgets {
+                let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+                let plan = budgets::read(&file.display().to_string(), &text)?;
+                for b in &plan.budgets {
+                    let (per, left) = (per(&b.per), plan.left(b)?);
+                    let (floors, reserves) =
+                        (b.floor * u64::from(plan.nodes), b.reserve * u64::from(plan.nodes));
+                    println!(
+                        "{}: {} {per}: {floors} floors, {reserves} reserves, {left} by demand",
+                        b.name, b.whole
+                    );
+                }
+            }
+            if budgets.is_none() || config.is_some() {
+                let config = read(config.as_deref())?;
+                println!("{}: would serve on {}", config.name, config.listen);
+            }
         }
         Command::Version => println!("shorepath {}", env!("CARGO_PKG_VERSION")),
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -834,6 +834,28 @@
     assert!(old.is_left_alone());
 }
 
+/// A file of budgets is checked by itself: what is left to divide, or where it is wrong.
+#[rstest]
+fn a_file_of_budgets_is_checked() {
+    let check = |file: &std::path::Path| {
+        let mut command = std::process::Command::new(PROGRAM);
+        command.args(["check", "--budgets"]).arg(file).env_remove("ROUTER_CONFIG").output().unwrap()
+    };
+    let example = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/budgets.sexp");
+    let told = check(&example);
+    assert!(told.status.success());
+    let text = String::from_utf8_lossy(&told.stdout);
+    assert!(
+        text.contains("flight:actuator-cmd: 1200 at once: 300 floors, 300 reserves, 600 by demand"),
+        "{text}"
+    );
+    let wrong = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("wrong-budgets.sexp");
+    std::fs::write(&wrong, "(budgets (nodes 3)\n (budget a (whole 5) (floor 2)))").unwrap();
+    let told = check(&wrong);
+    let text = String::from_utf8_lossy(&told.stderr);
+    assert!(!told.status.success() && text.contains(":2:2") && text.contains("the whole is 5"), "{text}");
+}
+
 /// Settings of a deployment whose second class is keyed, as far as they differ from the usual ones.
 fn keyed() -> (Node, Party) {
     let server = Party::new();
