Let no failed call to discovery put its clock off, nor calls lie further apart than it

Ruled out: calls that are refused or reset, whose pauses stay under what the clock leaves.

The server table hands over when the call's connection began, no longer when it was asked.

--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -177,8 +177,8 @@
     revision: Option<u64>,
     /// Lists that have come over this connection.
     lines: u64,
-    /// When it was asked for the last time, over this connection.
-    asked: Option<Instant>,
+    /// When the call began, with its connection, if one was made.
+    begun: Option<Instant>,
     /// When it told something for the last time, over this connection: a list, or that nothing has changed.
     heard: Option<Instant>,
     /// What came last, which only something whole puts off: silence counts from then.
@@ -215,7 +215,7 @@
     /// Start from the list as last held and keep a watch open for as long as the node runs.
     pub async fn follow(mut self, known: Listing) {
         let since = Instant::now();
-        let mut held = Held { revision: Some(known.revision), lines: 0, asked: None, heard: None, since };
+        let mut held = Held { revision: Some(known.revision), lines: 0, begun: None, heard: None, since };
         // Guards against building on revisions of a discovery that has lost power, too: only its whole list will do.
         if self.begins {
             held.revision = None;
@@ -227,7 +227,7 @@
         // By then what was missed counted as told, as the log has it.
         let mut overdue = None;
         loop {
-            (held.lines, held.asked, held.heard) = (0, None, None);
+            (held.lines, held.begun, held.heard) = (0, None, None);
             let discovery = *told.borrow_and_update();
             let ending = tokio::select! {
                 biased;
@@ -245,7 +245,7 @@
             };
             let mut moves = ending == Ending::Moved;
             if !moves {
-                let pause = self.backoff.pause(watched, held.asked, now);
+                let pause = self.backoff.pause(watched, held.begun, now);
                 let due = self.backoff.due();
                 if due <= now && overdue.replace(due) != Some(due) {
                     warn!("discovery has confirmed nothing for {TOLD:?}: the list held stays in force");
@@ -270,6 +270,7 @@
 
     async fn watch(&self, discovery: SocketAddr, held: &mut Held) -> Ending {
         self.calls.take(&self.deadlines).await;
+        held.begun = Some(Instant::now());
         let stream = tokio::select! {
             biased;
             stream = TcpStream::connect(discovery) => stream,
@@ -327,7 +328,6 @@
         held: &mut Held,
     ) -> Result<(), Ending> {
         held.since = Instant::now();
-        held.asked = Some(held.since);
         let fields = format!("Host: {discovery}\r\n");
         let request = Outgoing { method: "GET", target, fields, body: None };
         self.pool.send(connection, request).await.map_err(|_| Ending::PeerBroke)
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -21,6 +21,8 @@
 mod support;
 #[path = "node/terms.rs"]
 mod terms;
+#[path = "node/told.rs"]
+mod told;
 
 use rstest::rstest;
 use serde_json::json;
--- /dev/null
+++ b/tests/node/told.rs
@@ -0,0 +1,108 @@
+//! What discovery tells and when it counts as told: lists and watches that end, stall or come to nothing, calls that fail
+//! for long, and another discovery in the middle of it.
+
+use crate::support::*;
+use crate::{following, listing, watch};
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// A change counts as told this long after discovery had it and could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// A call waits its turn for 2 s at most, and what it brings is in force 0.2 s later: by then the call has to begin.
+const CALLED: Duration = Duration::from_millis(3_800);
+
+/// A node among so many that ask for their lists, with pauses from that seed.
+fn asking(server: &Party, discovery: &Party, replicas: u32, seed: u64) -> Value {
+    let mut config = following(&[server.address], discovery);
+    config["seed"] = json!(format!("{seed:x}"));
+    config["settings"]["replicas_of_me"] = json!(replicas);
+    config["settings"]["discovery"] = json!("on_request");
+    config
+}
+
+/// How a call fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Failure {
+    /// Turned away at once.
+    Busy,
+    /// Turned away after it has waited its turn.
+    WaitedInVain,
+    /// Reset with its request unread.
+    Reset,
+    /// Taken, and not a byte comes until the node gives it up.
+    Mute,
+}
+
+impl Failure {
+    fn play(self, mut peer: Peer) {
+        match self {
+            Failure::Busy | Failure::WaitedInVain => {
+                peer.message();
+                if self == Failure::WaitedInVain {
+                    peer.stays_silent(Duration::from_secs(2));
+                }
+                peer.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+                assert!(peer.ended());
+            }
+            Failure::Reset => peer.reset(),
+            Failure::Mute => {
+                peer.message();
+                assert!(peer.ended());
+            }
+        }
+    }
+}
+
+/// However long calls fail, a change that discovery has, and can be asked for, from just after one of them began is in
+/// force within 6 s. Calls fail in one way until the clock since the start has run out, and a few times more in another.
+#[rstest]
+#[case::busy(Failure::Busy, Failure::Busy, 4)]
+#[case::waited_in_vain(Failure::Busy, Failure::WaitedInVain, 2)]
+#[case::reset(Failure::Reset, Failure::Reset, 2)]
+#[case::mute(Failure::Reset, Failure::Mute, 1)]
+fn a_change_while_calls_fail_is_in_force_by_the_clock(
+    #[case] first: Failure,
+    #[case] then: Failure,
+    #[case] times: u32,
+) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(&server, &discovery, 300, 1));
+    let begun = Instant::now();
+    let mut last = None;
+    let mut called = |failure: Failure| {
+        let peer = discovery.accept();
+        let apart = last.replace(Instant::now()).map_or(Duration::ZERO, |at: Instant| at.elapsed());
+        assert!(apart < CALLED, "{apart:?} between two calls");
+        failure.play(peer);
+    };
+    while begun.elapsed() < TOLD {
+        called(first);
+    }
+    (0..times).for_each(|_| called(then));
+    // From here on discovery could be reached.
+    let had = last.unwrap();
+    let (mut watch, request) = watch(&discovery);
+    assert!(had.elapsed() < CALLED, "called after {:?}", had.elapsed());
+    assert_eq!(request, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+    watch.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 42");
+    assert!(had.elapsed() < TOLD, "{:?}", had.elapsed());
+}
+
+/// A call that waited its turn in vain does not put off the clock of the silence before it.
+#[rstest]
+#[case::soon(1)]
+#[case::late(2060)]
+fn a_call_that_waited_in_vain_does_not_put_the_clock_off(#[case] seed: u64) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(&server, &discovery, 300, seed));
+    let (mut first, _) = watch(&discovery);
+    first.line(&listing(41, true, &[entry("s-0", server.address, "active")]));
+    let silent = Instant::now();
+    Failure::WaitedInVain.play(discovery.accept());
+    let (mut second, _) = watch(&discovery);
+    second.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 42");
+    assert!(silent.elapsed() < TOLD, "{:?}", silent.elapsed());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -363,6 +363,21 @@
         nothing
     }
 
+    /// Nothing comes for that time, or this says what does.
+    pub fn stays_silent(&mut self, time: Duration) {
+        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
+        let begun = Instant::now();
+        match self.stream.fill_buf() {
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            came => panic!(
+                "after {:?}: {:?}",
+                begun.elapsed(),
+                came.map(|b| String::from_utf8_lossy(b).into_owned())
+            ),
+        }
+        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
+    }
+
     /// Send this over and over until something comes back.
     pub fn trickle_until_answered(&mut self, text: &str) {
         let pause = Some(Duration::from_millis(100));
@@ -388,6 +403,11 @@
         !self.stream.fill_buf().is_ok_and(|came| !came.is_empty())
     }
 
+    /// Wait until something has come and close over it unread, which resets the connection.
+    pub fn reset(self) {
+        assert!(self.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0), "nothing came");
+    }
+
     /// Send this so many times, or until the other side reads no more.
     pub fn flood(&mut self, times: usize, text: &str) {
         let mut stream = self.stream.get_ref().try_clone().unwrap();
