Count the clock of a watch that is reset from the last that it told

Cause: a watch may fall silent and be reset before that is noticed. What it missed counts as told 6 s after the silence began, but backoff.rs began the clock anew at the reset (`Watched::Told => self.heard(now)`), so that a node among 300 that asks for its lists called up to 3.25 s after that.

Change: an ended watch counts from the last whole object or empty line, as a silent one did; the two are one case now.

--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -3,9 +3,8 @@
 
 use std::time::{Duration, Instant};
 
-/// What discovery has to tell counts as told this long after it fell silent, or after the watch ended,
-/// and after any call that failed this long after it had it and could be reached, whether it arrived or not: the
-/// clock by which all that follows is measured.
+/// What discovery has to tell counts as told this long after it fell silent, and after any call that failed this long
+/// after it had it and could be reached, whether it arrived or not: the clock by which all that follows is measured.
 pub const TOLD: Duration = Duration::from_millis(6_000);
 /// Where the configuration names another discovery, what that has to tell counts as told by then.
 const TOLD_AFTER_MOVE: Duration = Duration::from_millis(4_000);
@@ -49,10 +48,8 @@
 pub enum Watched {
     /// There was none: the node has just started, with the list that it last held.
     Never,
-    /// It told something, a list or that nothing has changed, until it ended.
+    /// It told something, a list or that nothing has changed, before it fell silent or ended.
     Told,
-    /// It told something and then fell silent.
-    Silent,
     /// It was not answered at all.
     Nothing,
     /// Discovery turned it away, having too much to do.
@@ -107,9 +104,6 @@
     /// How long to wait from now before the next watch, where the call for the last one began at that time, if it
     /// was made.
     pub fn pause(&mut self, watched: Watched, begun: Option<Instant>, now: Instant) -> Duration {
-        if watched == Watched::Told {
-            self.heard(now);
-        }
         let left = self.due.saturating_duration_since(now);
         let took = begun.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let most = longest(left, took);
@@ -130,9 +124,8 @@
                 let wide = spread * (1 << self.busy.min(8).saturating_sub(1)).min(GROWTH);
                 soon(wide.mul_f64(luck)).max(FIRST)
             }
-            Watched::Never | Watched::Told | Watched::Silent => {
-                spread.min(left.saturating_sub(CALL)).mul_f64(luck)
-            }
+            // Guards against a watch that fell silent before it was reset: the clock has run since it last told something.
+            Watched::Never | Watched::Told => spread.min(left.saturating_sub(CALL)).mul_f64(luck),
         }
     }
 }
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -239,7 +239,6 @@
             held.heard.into_iter().for_each(|at| self.backoff.heard(at));
             let watched = match ending {
                 Ending::Busy => Watched::Busy,
-                Ending::Silent if held.heard.is_some() => Watched::Silent,
                 _ if held.heard.is_some() => Watched::Told,
                 _ => Watched::Nothing,
             };
--- a/tests/backoff.rs
+++ b/tests/backoff.rs
@@ -69,8 +69,7 @@
         let mut backoff = Backoff::new(seed, nodes, from);
         backoff.heard(from);
         let noticed = from + if let End::Reset(after) = end { after } else { SILENCE };
-        let watched = if let End::Reset(_) = end { Watched::Told } else { Watched::Silent };
-        let at = noticed + backoff.pause(watched, None, noticed);
+        let at = noticed + backoff.pause(Watched::Told, None, noticed);
         Node { backoff, from, at }
     }
 
@@ -123,6 +122,19 @@
     }
 }
 
+/// A watch may have fallen silent before it was reset: what it missed counts from the silence, which began with the
+/// last that it told.
+#[test]
+fn a_reset_does_not_put_the_clock_off() {
+    for (nodes, seed) in [1, 4, 20, 100, 300].into_iter().flat_map(|n| (0..200).map(move |s| (n, s))) {
+        for reset in [ms(0), ms(500), HEARTBEAT, ms(2_499)] {
+            let mut node = Node::after(seed, nodes, Instant::now(), End::Reset(reset));
+            let came = node.call(Call::Answered).unwrap() + WAIT + TAKEN_IN;
+            assert!(came <= TOLD, "{nodes} nodes, seed {seed}, reset after {reset:?}: {came:?}");
+        }
+    }
+}
+
 /// Whatever becomes of calls for however long: a change of any moment is in force 6 s after discovery had it and could be
 /// reached, which may be just after a call that failed had begun, and also where the next call has to wait its turn. An
 /// agent is called again well within the drains' grace, but for calls that it leaves open.
@@ -130,7 +142,7 @@
 fn a_change_while_calls_fail_is_there_by_the_clock() {
     let kinds =
         [Call::Busy(ms(0)), Call::Busy(ms(700)), Call::Busy(WAIT), Call::Mute, Call::Deaf, Call::Refused];
-    let ends = [End::Silence, End::Reset(ms(0))];
+    let ends = [End::Silence, End::Reset(ms(0)), End::Reset(HEARTBEAT)];
     for (nodes, seed) in [1, 4, 20, 100, 300].into_iter().flat_map(|n| (0..60).map(move |s| (n, s))) {
         let zero = Instant::now();
         for (kind, end) in kinds.into_iter().flat_map(|k| ends.map(|e| (k, e))) {
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -106,3 +106,21 @@
     node.logs("server table 42");
     assert!(silent.elapsed() < TOLD, "{:?}", silent.elapsed());
 }
+
+/// A watch that is reset after it has been silent may have fallen silent with the last that it told: the clock runs from there.
+#[rstest]
+#[case::soon(1)]
+#[case::late(2060)]
+fn a_reset_after_silence_does_not_put_the_clock_off(#[case] seed: u64) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(&server, &discovery, 300, seed));
+    let (mut first, _) = watch(&discovery);
+    first.line(&listing(41, true, &[entry("s-0", server.address, "active")]));
+    let silent = Instant::now();
+    first.stays_silent(Duration::from_millis(1_500));
+    drop(first);
+    let (mut second, _) = watch(&discovery);
+    assert!(silent.elapsed() < CALLED, "called after {:?}", silent.elapsed());
+    second.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 42");
+}
