Ask another discovery for its whole list also where it is named before the first call

Change: the first pause is one with the others, all of which look for a move, and the one place after them drops the revision.

Test: a_move_before_the_first_call_asks_for_the_whole_list failed without it each time (left: "GET /catalog/members?watch=1&from=41 HTTP/1.1", right: "GET /catalog/members HTTP/1.1").

--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -223,10 +223,25 @@
             warn!("the list as last held: {e}");
         }
         let mut told = self.discovery.clone();
-        self.deadlines.after(self.backoff.pause(Watched::Never, None, since)).await;
+        let mut pause = self.backoff.pause(Watched::Never, None, since);
         // By then what was missed counted as told, as the log has it.
         let mut overdue = None;
+        let mut moves = false;
         loop {
+            // Also before the first call: the list that the node starts with is another discovery's, too.
+            if !moves {
+                tokio::select! {
+                    biased;
+                    () = moved(&mut told) => moves = true,
+                    () = self.deadlines.after(pause) => {}
+                }
+            }
+            if moves {
+                self.backoff.moved(Instant::now());
+                // Guards against building on another discovery's revisions: they mean nothing here.
+                // Until its list has come, the one we hold stays.
+                held.revision = None;
+            }
             (held.lines, held.begun, held.heard) = (0, None, None);
             let discovery = *told.borrow_and_update();
             let ending = tokio::select! {
@@ -242,26 +257,16 @@
                 _ if held.heard.is_some() => Watched::Told,
                 _ => Watched::Nothing,
             };
-            let mut moves = ending == Ending::Moved;
+            moves = ending == Ending::Moved;
             if !moves {
-                let pause = self.backoff.pause(watched, held.begun, now);
+                pause = self.backoff.pause(watched, held.begun, now);
                 let due = self.backoff.due();
                 if due <= now && overdue.replace(due) != Some(due) {
                     warn!("discovery has confirmed nothing for {TOLD:?}: the list held stays in force");
                 }
-                tokio::select! {
-                    biased;
-                    () = moved(&mut told) => moves = true,
-                    () = self.deadlines.after(pause) => {}
-                }
-            }
-            if moves {
-                self.backoff.moved(Instant::now());
             }
             // The same changes would come again: ask for the whole list.
-            if moves || ending == Ending::Malformed {
-                // Guards against building on another discovery's revisions: they mean nothing here.
-                // Until its list has come, the one we hold stays.
+            if ending == Ending::Malformed {
                 held.revision = None;
             }
         }
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -124,3 +124,19 @@
     second.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
     node.logs("server table 42");
 }
+
+/// Another discovery comes with SIGHUP before the first call, for which the node waits a part of its spread: the revision
+/// that it started with means nothing there, so the whole list is asked for.
+#[rstest]
+fn a_move_before_the_first_call_asks_for_the_whole_list() {
+    let (server, first, second) = (Party::new(), Party::new(), Party::new());
+    let mut config = asking(&server, &first, 300, 1);
+    let node = Node::start(&config);
+    config["discovery"] = json!(second.address.to_string());
+    node.replace(&config.to_string());
+    node.hang_up();
+    node.logs("configuration read again");
+    let mut poll = second.accept();
+    assert_eq!(poll.message().first, "GET /catalog/members HTTP/1.1");
+    assert!(first.is_left_alone(), "the seed has it wait longer than that");
+}
