Take empty lines for a sign of life on a watch alone

Cause: an answer to a call for the whole list that goes on with empty lines and never ends was taken for a watch that says nothing has changed (`take` in server_table.rs, `held.revision.is_some()` once the list was in): silence was put off each time, no watch was opened, and no change would ever have come.

Change: only on a watch does space tell anything. The call is given up by the usual silence, and the watch goes on from its list.

Test: an_answer_that_never_ends_is_no_watch, 'empty_lines', failed without it ("it goes on waiting", after 10 s).

--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -317,7 +317,14 @@
         loop {
             // Guards against a watch that is cut off: nothing else would ever tell.
             match self.next(connection, held).await? {
-                Piece::Part(part) => self.take(&part, &mut changes, held)?,
+                Piece::Part(part) => {
+                    self.take(&part, &mut changes, held)?;
+                    // Space tells that nothing has changed. Guards against an answer to a call for the whole list that never
+                    // ends: after that it tells nothing, and no watch would be opened.
+                    if changes.is_between() {
+                        self.heard(held);
+                    }
+                }
                 Piece::Head { .. } | Piece::Line(_) => {}
                 Piece::End { .. } => return Err(Ending::PeerClosed),
             }
@@ -367,24 +374,25 @@
         }
     }
 
-    /// Take in the lists, or changes, that are whole with this part, or that nothing has changed.
+    /// Take in the lists, or changes, that are whole with this part.
     fn take(&self, part: &[u8], objects: &mut Objects, held: &mut Held) -> Result<(), Ending> {
         let mut whole = objects.add(part).map_err(|e| e.to_string());
         loop {
             let next = whole.and_then(|()| objects.whole::<Listing>().map_err(|e| e.to_string()));
-            let next = next.map_err(wrong)?;
-            // Space before the whole list tells nothing.
-            if next.is_some() || objects.is_between() && held.revision.is_some() {
-                held.since = Instant::now();
-                held.heard = Some(held.since);
-                self.last.iter().for_each(|last| last.hold());
-            }
-            let Some(listing) = next else { return Ok(()) };
+            let Some(listing) = next.map_err(wrong)? else { return Ok(()) };
+            self.heard(held);
             whole = self.apply(listing, held).map_err(|e| e.to_string());
             held.lines += u64::from(whole.is_ok());
         }
     }
 
+    /// Discovery has told something that is in force, or that nothing has changed.
+    fn heard(&self, held: &mut Held) {
+        held.since = Instant::now();
+        held.heard = Some(held.since);
+        self.last.iter().for_each(|last| last.hold());
+    }
+
     fn apply(&self, listing: Listing, held: &mut Held) -> Result<(), EntryError> {
         let servers = listing.members.iter().map(Entry::server).collect::<Result<Vec<_>, _>>()?;
         if let Some(last) = &self.last {
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -125,6 +125,33 @@
     node.logs("server table 42");
 }
 
+/// The answer to a call for the whole list goes on after it and never ends: only a watch tells changes, so one is opened.
+#[rstest]
+#[case::empty_lines("1\r\n\n\r\n")]
+#[case::nothing("")]
+fn an_answer_that_never_ends_is_no_watch(#[case] more: &str) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(&server, &discovery, 300, 1));
+    let (mut first, _) = watch(&discovery);
+    first.line("nonsense");
+    let mut poll = discovery.accept();
+    assert_eq!(poll.message().first, "GET /catalog/members HTTP/1.1");
+    poll.begin();
+    poll.line(&listing(50, true, &[entry("s-0", server.address, "active")]));
+    let told = Instant::now();
+    node.logs("server table 50");
+    if more.is_empty() {
+        assert!(poll.ended());
+    } else {
+        poll.trickle_until_over(more);
+    }
+    let (mut second, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=50 HTTP/1.1");
+    second.line(&listing(51, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 51");
+    assert!(told.elapsed() < TOLD, "{:?}", told.elapsed());
+}
+
 /// Another discovery comes with SIGHUP before the first call, for which the node waits a part of its spread: the revision
 /// that it started with means nothing there, so the whole list is asked for.
 #[rstest]
