Let only lists that can be used confirm the one that is held

Cause: a list or change that names a server without an address was counted as heard before it was taken in (`take` in server_table.rs), although it changes nothing: the clock began anew with each, the log never said that nothing was confirmed, and the list kept on the disk counted as confirmed (`LastList::hold`).

Change: it counts once it is in force.

Test: lists_that_cannot_be_used_confirm_nothing failed without it ("no 'discovery has confirmed nothing' in the log").

--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -380,9 +380,12 @@
         loop {
             let next = whole.and_then(|()| objects.whole::<Listing>().map_err(|e| e.to_string()));
             let Some(listing) = next.map_err(wrong)? else { return Ok(()) };
-            self.heard(held);
             whole = self.apply(listing, held).map_err(|e| e.to_string());
-            held.lines += u64::from(whole.is_ok());
+            // Guards against a list that can't be used: it confirms nothing.
+            if whole.is_ok() {
+                held.lines += 1;
+                self.heard(held);
+            }
         }
     }
 
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -125,6 +125,21 @@
     node.logs("server table 42");
 }
 
+/// Lists that name a server without an address confirm nothing of the one that is held, however often they come.
+#[rstest]
+fn lists_that_cannot_be_used_confirm_nothing() {
+    let (server, agent) = (Party::new(), Party::new());
+    let node = Node::start(&following(&[server.address], &agent));
+    let list = listing(44, true, &[json!({"id": "s-0", "host_port": "here", "phase": "active"})]);
+    agent.attended(move |mut peer| {
+        peer.message();
+        peer.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+        assert!(peer.ended());
+    });
+    node.logs("server 's-0' has no address with a port: 'here'");
+    node.logs("discovery has confirmed nothing");
+}
+
 /// The answer to a call for the whole list goes on after it and never ends: only a watch tells changes, so one is opened.
 #[rstest]
 #[case::empty_lines("1\r\n\n\r\n")]
