Force the rare endings of lists and watches on the real program

Not forced: whether the old list's rest or SIGHUP is seen first where both are there as the process goes on; either is right, and the test holds for both.

--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -2,7 +2,7 @@
 //! for long, and another discovery in the middle of it.
 
 use crate::support::*;
-use crate::{following, listing, watch};
+use crate::{following, listing, watch, whole_list};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
@@ -125,6 +125,140 @@
     node.logs("server table 42");
 }
 
+/// A watch that is silent from its first byte, after a whole list that came over the same connection, and one that is
+/// silent right after it has told a list: each is given up and taken up from the last that came.
+#[rstest]
+#[case::from_the_first_byte(false)]
+#[case::after_its_first_list(true)]
+fn a_watch_that_says_nothing_after_the_whole_list_is_taken_up_from_there(#[case] tells: bool) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(&server, &discovery, 300, 1));
+    let (mut first, _) = watch(&discovery);
+    first.line("nonsense");
+    let mut poll = whole_list(&discovery, &listing(50, true, &[entry("s-0", server.address, "active")]));
+    let mut silent = Instant::now();
+    assert_eq!(poll.message().first, "GET /catalog/members?watch=1&from=50 HTTP/1.1");
+    let from = if tells {
+        poll.begin();
+        poll.line(&listing(51, true, &[entry("s-0", server.address, "active")]));
+        silent = Instant::now();
+        51
+    } else {
+        50
+    };
+    let (mut second, request) = watch(&discovery);
+    assert_eq!(request, format!("GET /catalog/members?watch=1&from={from} HTTP/1.1"));
+    second.line(&listing(52, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 52");
+    assert!(silent.elapsed() < TOLD, "{:?}", silent.elapsed());
+    assert!(poll.ended());
+}
+
+/// Where the changes since a revision were asked for, a whole list takes their place: who is not in it has gone.
+#[rstest]
+fn a_whole_list_in_place_of_changes_replaces_all() {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let node = Node::start(&following(&[old.address, old.address], &discovery));
+    let (mut first, _) = watch(&discovery);
+    first.line(&listing(42, false, &[entry("s-1", old.address, "left")]));
+    node.logs("server table 42");
+    drop(first);
+    let (mut second, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=42 HTTP/1.1");
+    second.line(&listing(60, true, &[entry("s-new", new.address, "active")]));
+    node.logs("server table 60: 1 entries, whole=true");
+    // And changes build on it.
+    second.line(&listing(61, false, &[entry("s-1", new.address, "active")]));
+    node.logs("server table 61: 1 entries, whole=false");
+    for k in 0..6 {
+        let mut client = node.ask(&k.to_string(), "/zone-plan");
+        let mut backend = new.accept();
+        assert_eq!(backend.id(), k.to_string());
+        backend.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        backend.send(&format!("{}\n", json!({"id": k.to_string(), "state": "done", "result": "r"})));
+        drop(backend);
+        assert_eq!(client.message().status(), 200);
+    }
+    assert!(old.is_left_alone());
+}
+
+/// Revisions that go backwards, as after discovery has lost what it knew: what it says holds, and the next watch goes on
+/// from there.
+#[rstest]
+#[case::whole(true)]
+#[case::changes(false)]
+fn revisions_that_go_backwards_are_followed(#[case] whole: bool) {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let node = Node::start(&following(&[old.address], &discovery));
+    let (mut first, _) = watch(&discovery);
+    let members = [entry("s-0", old.address, "leaving"), entry("s-new", new.address, "active")];
+    first.line(&listing(3, whole, &members));
+    node.logs("server table 3: 2 entries");
+    drop(first);
+    let (_second, request) = watch(&discovery);
+    assert_eq!(request, "GET /catalog/members?watch=1&from=3 HTTP/1.1");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = new.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(old.is_left_alone());
+}
+
+/// An empty whole list holds: nothing is sent to the servers that were, until another list names some.
+#[rstest]
+fn an_empty_whole_list_leaves_nobody_to_send_to() {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&following(&[server.address], &discovery));
+    let (mut watch, _) = watch(&discovery);
+    watch.line(&listing(42, true, &[]));
+    node.logs("server table 42: 0 entries, whole=true");
+    let mut client = node.client();
+    client.send(&job("a", "/actuator-cmd", "400m", ""));
+    assert_eq!(client.message().status(), 503);
+    assert!(server.is_left_alone());
+    watch.line(&listing(43, false, &[entry("s-0", server.address, "active")]));
+    node.logs("server table 43");
+    client.send(&job("b", "/actuator-cmd", "5000m", ""));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "b");
+    backend.serve("b", "1");
+    assert_eq!(client.message().body, "1");
+}
+
+/// What makes no sense, in a watch or in place of the whole list, changes nothing: the old list serves on until the whole
+/// one has come, which is asked for each time.
+#[rstest]
+#[case::no_json("nonsense")]
+#[case::no_list("{\"revision\": 44}")]
+#[case::no_address("{\"revision\":44,\"complete\":true,\"members\":[{\"id\":\"s-0\",\"host_port\":\"here\",\"phase\":\"active\"}]}")]
+fn nonsense_keeps_the_old_list_and_asks_for_the_whole_one(#[case] nonsense: &str) {
+    let (old, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let node = Node::start(&following(&[old.address], &discovery));
+    let (mut first, _) = watch(&discovery);
+    first.line(nonsense);
+    assert!(first.ended());
+    // The whole list is nonsense, too, or stops before it is whole.
+    let list = listing(45, true, &[entry("s-new", new.address, "active")]);
+    for text in [nonsense, &list[..list.len() - 1], ""] {
+        let mut poll = whole_list(&discovery, text);
+        assert!(poll.ended());
+        node.logs("reason=malformed");
+    }
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = old.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "from the old one");
+    assert_eq!(client.message().body, "from the old one");
+    let mut last = whole_list(&discovery, &list);
+    assert_eq!(last.message().first, "GET /catalog/members?watch=1&from=45 HTTP/1.1");
+    client.send(&job("b", "/zone-plan", "5000m", ""));
+    let mut backend = new.accept();
+    assert_eq!(backend.id(), "b");
+    backend.serve("b", "from the new one");
+    assert_eq!(client.message().body, "from the new one");
+}
+
 /// Lists that name a server without an address confirm nothing of the one that is held, however often they come.
 #[rstest]
 fn lists_that_cannot_be_used_confirm_nothing() {
@@ -167,6 +301,49 @@
     assert!(told.elapsed() < TOLD, "{:?}", told.elapsed());
 }
 
+/// Another discovery comes with SIGHUP while the old one's list is half-way; its rest comes in the same moment, and later. Nothing
+/// of it is in force after the move, and the new one is asked for its whole list.
+#[rstest]
+#[case::on_a_watch(false)]
+#[case::whole_list(true)]
+fn nothing_of_the_old_discovery_comes_in_after_the_move(#[case] asked: bool) {
+    let (server, other) = (Party::new(), Party::new());
+    let (first, second) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &first);
+    let node = Node::start(&config);
+    let (mut before, _) = watch(&first);
+    if asked {
+        before.line("nonsense");
+        before = first.accept();
+        before.message();
+        before.begin();
+    }
+    let list = listing(43, true, &[entry("s-other", other.address, "active")]) + "\n";
+    let (half, rest) = list.split_at(list.len() / 2);
+    before.send(&format!("{:x}\r\n{half}\r\n", half.len()));
+    node.stand_still(true);
+    config["discovery"] = json!(second.address.to_string());
+    node.replace(&config.to_string());
+    node.hang_up();
+    before.send(&format!("{:x}\r\n{rest}\r\n", rest.len()));
+    node.stand_still(false);
+    node.logs("configuration read again");
+    // It may have been in force before the move, but not after it.
+    let (mut poll, list) = (second.accept(), listing(2, true, &[entry("s-0", server.address, "active")]));
+    assert_eq!(poll.message().first, "GET /catalog/members HTTP/1.1");
+    let _ = before.goes_on();
+    poll.send(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    let after = node.logs_until("server table 2:");
+    assert!(after.iter().all(|l| !l.contains("server table 43")), "{after:?}");
+    assert_eq!(poll.message().first, "GET /catalog/members?watch=1&from=2 HTTP/1.1");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(other.is_left_alone() && second.is_left_alone());
+}
+
 /// Another discovery comes with SIGHUP before the first call, for which the node waits a part of its spread: the revision
 /// that it started with means nothing there, so the whole list is asked for.
 #[rstest]
@@ -182,3 +359,22 @@
     assert_eq!(poll.message().first, "GET /catalog/members HTTP/1.1");
     assert!(first.is_left_alone(), "the seed has it wait longer than that");
 }
+
+/// An agent that is silent while discovery is down takes calls and answers the one that is open as discovery returns: that is
+/// in force well within the drains' grace, over whichever call.
+#[rstest]
+fn a_call_that_waits_out_an_agents_silence_brings_the_list_at_once() {
+    let (server, agent) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &agent);
+    config["settings"]["replicas_of_me"] = json!(300);
+    let node = Node::start(&config);
+    // The first is given up, the second is open as discovery returns.
+    Failure::Mute.play(agent.accept());
+    let mut open = agent.accept();
+    assert_eq!(open.message().first, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+    let back = Instant::now();
+    open.begin();
+    open.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    node.logs("server table 42");
+    assert!(back.elapsed() < Duration::from_millis(250), "{:?}", back.elapsed());
+}
