--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -177,8 +177,8 @@
     revision: Option<u64>,
     /// Lists that have come over this connection.
     lines: u64,
-    /// When it was asked for the last time, over this connection.
-    asked: Option<Instant>,
+    /// When the call began, with its connection, if one was made.
+    begun: Option<Instant>,
     /// When it told something for the last time, over this connection: a list, or that nothing has changed.
     heard: Option<Instant>,
     /// What came last, which only something whole puts off: silence counts from then.
@@ -215,7 +215,7 @@
     /// Start from the list as last held and keep a watch open for as long as the node runs.
     pub async fn follow(mut self, known: Listing) {
         let since = Instant::now();
-        let mut held = Held { revision: Some(known.revision), lines: 0, asked: None, heard: None, since };
+        let mut held = Held { revision: Some(known.revision), lines: 0, begun: None, heard: None, since };
         // Guards against building on revisions of a discovery that has lost power, too: only its whole list will do.
         if self.begins {
             held.revision = None;
@@ -223,11 +223,26 @@
             warn!("the list as last held: {e}");
         }
         let mut told = self.discovery.clone();
-        self.deadlines.after(self.backoff.pause(Watched::Never, None, since)).await;
+        let mut pause = self.backoff.pause(Watched::Never, None, since);
         // By then what was missed counted as told, as the log has it.
         let mut overdue = None;
+        let mut moves = false;
         loop {
-            (held.lines, held.asked, held.heard) = (0, None, None);
+            // Also before the first call: the list that the node starts with is another discovery's, too.
+            if !moves {
+                tokio::select! {
+                    biased;
+                    () = moved(&mut told) => moves = true,
+                    () = self.deadlines.after(pause) => {}
+                }
+            }
+            if moves {
+                self.backoff.moved(Instant::now());
+                // Guards against building on another discovery's revisions: they mean nothing here.
+                // Until its list has come, the one we hold stays.
+                held.revision = None;
+            }
+            (held.lines, held.begun, held.heard) = (0, None, None);
             let discovery = *told.borrow_and_update();
             let ending = tokio::select! {
                 biased;
@@ -239,30 +254,19 @@
             held.heard.into_iter().for_each(|at| self.backoff.heard(at));
             let watched = match ending {
                 Ending::Busy => Watched::Busy,
-                Ending::Silent if held.heard.is_some() => Watched::Silent,
                 _ if held.heard.is_some() => Watched::Told,
                 _ => Watched::Nothing,
             };
-            let mut moves = ending == Ending::Moved;
+            moves = ending == Ending::Moved;
             if !moves {
-                let pause = self.backoff.pause(watched, held.asked, now);
+                pause = self.backoff.pause(watched, held.begun, now);
                 let due = self.backoff.due();
                 if due <= now && overdue.replace(due) != Some(due) {
                     warn!("discovery has confirmed nothing for {TOLD:?}: the list held stays in force");
                 }
-                tokio::select! {
-                    biased;
-                    () = moved(&mut told) => moves = true,
-                    () = self.deadlines.after(pause) => {}
-                }
-            }
-            if moves {
-                self.backoff.moved(Instant::now());
             }
             // The same changes would come again: ask for the whole list.
-            if moves || ending == Ending::Malformed {
-                // Guards against building on another discovery's revisions: they mean nothing here.
-                // Until its list has come, the one we hold stays.
+            if ending == Ending::Malformed {
                 held.revision = None;
             }
         }
@@ -270,6 +274,7 @@
 
     async fn watch(&self, discovery: SocketAddr, held: &mut Held) -> Ending {
         self.calls.take(&self.deadlines).await;
+        held.begun = Some(Instant::now());
         let stream = tokio::select! {
             biased;
             stream = TcpStream::connect(discovery) => stream,
@@ -312,7 +317,14 @@
         loop {
             // Guards against a watch that is cut off: nothing else would ever tell.
             match self.next(connection, held).await? {
-                Piece::Part(part) => self.take(&part, &mut changes, held)?,
+                Piece::Part(part) => {
+                    self.take(&part, &mut changes, held)?;
+                    // Space tells that nothing has changed. Guards against an answer to a call for the whole list that never
+                    // ends: after that it tells nothing, and no watch would be opened.
+                    if changes.is_between() {
+                        self.heard(held);
+                    }
+                }
                 Piece::Head { .. } | Piece::Line(_) => {}
                 Piece::End { .. } => return Err(Ending::PeerClosed),
             }
@@ -327,7 +339,6 @@
         held: &mut Held,
     ) -> Result<(), Ending> {
         held.since = Instant::now();
-        held.asked = Some(held.since);
         let fields = format!("Host: {discovery}\r\n");
         let request = Outgoing { method: "GET", target, fields, body: None };
         self.pool.send(connection, request).await.map_err(|_| Ending::PeerBroke)
@@ -363,24 +374,28 @@
         }
     }
 
-    /// Take in the lists, or changes, that are whole with this part, or that nothing has changed.
+    /// Take in the lists, or changes, that are whole with this part.
     fn take(&self, part: &[u8], objects: &mut Objects, held: &mut Held) -> Result<(), Ending> {
         let mut whole = objects.add(part).map_err(|e| e.to_string());
         loop {
             let next = whole.and_then(|()| objects.whole::<Listing>().map_err(|e| e.to_string()));
-            let next = next.map_err(wrong)?;
-            // Space before the whole list tells nothing.
-            if next.is_some() || objects.is_between() && held.revision.is_some() {
-                held.since = Instant::now();
-                held.heard = Some(held.since);
-                self.last.iter().for_each(|last| last.hold());
-            }
-            let Some(listing) = next else { return Ok(()) };
+            let Some(listing) = next.map_err(wrong)? else { return Ok(()) };
             whole = self.apply(listing, held).map_err(|e| e.to_string());
-            held.lines += u64::from(whole.is_ok());
+            // Guards against a list that can't be used: it confirms nothing.
+            if whole.is_ok() {
+                held.lines += 1;
+                self.heard(held);
+            }
         }
     }
 
+    /// Discovery has told something that is in force, or that nothing has changed.
+    fn heard(&self, held: &mut Held) {
+        held.since = Instant::now();
+        held.heard = Some(held.since);
+        self.last.iter().for_each(|last| last.hold());
+    }
+
     fn apply(&self, listing: Listing, held: &mut Held) -> Result<(), EntryError> {
         let servers = listing.members.iter().map(Entry::server).collect::<Result<Vec<_>, _>>()?;
         if let Some(last) = &self.last {
