Bind what comes from 0.65 s after SIGTERM on to the last answer, not only from 0.75 s on

Cause: the time of the last answer was handed to the frontend by `refuse`, 0.75 s after SIGTERM (`DRAIN`), and `job` bounds a request's patience only once it is there. A request of the 50 ms before that kept all its patience, and SIGKILL, which may come 3.7 s after SIGTERM, found it unanswered although it had come more than 0.7 s after SIGTERM.

Change: the times of stopping are one object, `Stopping`, made once at SIGTERM and given to the frontend by `leave`. The times are as before.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -7,6 +7,7 @@
 use super::exchange::{Ask, Exchange, Ticket, Verdict};
 use super::pool::Pool;
 use super::sites::{Barred, Mark, Sites};
+use super::stopping::Stopping;
 use super::Job;
 use crate::api::{Entry, Micros};
 use futures_util::FutureExt;
@@ -109,8 +110,8 @@
     idle: RefCell<[Standing; 3]>,
     idled: Cell<u64>,
     ids: Rc<RefCell<Ids>>,
-    /// When the last answer is due, once the node is stopping.
-    last: Cell<Option<Instant>>,
+    /// The times that hold once the node is stopping.
+    stopping: Cell<Option<Stopping>>,
     state: watch::Sender<State>,
     /// This node among sites, where there are any.
     sites: RefCell<Option<Rc<Sites>>>,
@@ -258,7 +259,7 @@
             idle: RefCell::default(),
             idled: Cell::new(0),
             ids: Rc::default(),
-            last: Cell::new(None),
+            stopping: Cell::new(None),
             state: watch::channel(state).0,
             sites: RefCell::default(),
         })
@@ -334,14 +335,15 @@
         self.state.send_modify(|s| s.stage = stage);
     }
 
-    /// The node is going to stop: it is no longer healthy, but serves as before.
-    pub fn leave(&self) {
+    /// The node is going to stop by these times: it is no longer healthy, but serves as before. What comes late
+    /// has its answer in time; from now on, or what comes right before connections are refused would be missed.
+    pub fn leave(&self, stopping: Stopping) {
+        self.stopping.set(Some(stopping));
         self.enter(Stage::Leaving);
     }
 
-    /// Accept no new connection. What still comes over the others is answered by then.
-    pub fn refuse(&self, last: Instant) {
-        self.last.set(Some(last));
+    /// Accept no new connection but those that wait already.
+    pub fn refuse(&self) {
         self.enter(Stage::Refusing);
     }
 
@@ -745,7 +747,7 @@
         let id = field("request-id")?.ok_or_else(|| malformed("no Request-Id"))?.to_string();
         let patience = field("request-timeout")?.ok_or_else(|| malformed("no Request-Timeout"))?;
         let patience = timeout(patience).ok_or_else(|| malformed("Request-Timeout is no time"))?;
-        let most = self.last.get().map(|last| last.saturating_duration_since(request.arrived));
+        let most = self.stopping.get().and_then(|s| s.patience(request.arrived));
         let patience = most.map_or(patience, |most| patience.min(most));
         let tenant = field("tenant")?.map(str::to_string);
         let number = tenant.as_deref().and_then(|t| self.exchange.tenant(t));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 pub mod recovering;
 pub mod server_table;
 pub mod sites;
+pub mod stopping;
 
 use backend::{Backend, Bounds};
 use backoff::Backoff;
@@ -41,6 +42,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use stopping::Stopping;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -92,17 +94,6 @@
     Start(#[from] std::io::Error),
 }
 
-/// After SIGTERM the node takes requests as before for this long: new connections and requests go on
-/// coming for 0.7 s, and each must be answered.
-const DRAIN: Duration = Duration::from_millis(750);
-/// For this long after SIGTERM it serves the connections that clients have. Guards clients against
-/// having no node at all where the next one is told to stop before the last one is back: they go on
-/// using these connections for as long as they stay open.
-const LAST_REQUEST: Duration = Duration::from_millis(2_000);
-/// What comes after the time for new connections has its answer this long after SIGTERM at the latest:
-/// from then on the node may be killed.
-const LAST_ANSWER: Duration = Duration::from_millis(3_500);
-
 /// A process that takes over waits this long at most for discovery's list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 
@@ -338,14 +329,14 @@
         _ = &mut accepting => return Err(ServeError::Part("frontend")),
     }
     info!("told to stop: {} requests are open", exchange.open());
-    let told = Instant::now();
-    frontend.leave();
+    let stopping = Stopping::new(Instant::now());
+    frontend.leave(stopping);
     let drained = async {
-        deadlines.at(told + DRAIN).await;
-        frontend.refuse(told + LAST_ANSWER);
+        deadlines.at(stopping.refuses()).await;
+        frontend.refuse();
         let _ = accepting.await;
         info!("new connections are refused");
-        deadlines.at(told + LAST_REQUEST).await;
+        deadlines.at(stopping.closes()).await;
         frontend.close();
         frontend.ended().await;
         backend.shut_down().await;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -18,6 +18,8 @@
 mod recovery;
 #[path = "node/sites.rs"]
 mod sites;
+#[path = "node/stopping.rs"]
+mod stopping;
 mod support;
 #[path = "node/terms.rs"]
 mod terms;
--- /dev/null
+++ b/tests/node/stopping.rs
@@ -0,0 +1,147 @@
+//! Signals, and the moments in which they come: a node that is told to stop, or to read its configuration again.
+
+use crate::pair;
+use crate::support::*;
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Ids that came to a server.
+type Ids = Arc<Mutex<HashSet<String>>>;
+
+/// Take whatever comes and answer none of it.
+fn hanging(server: Party) -> Ids {
+    let ids = Ids::default();
+    let written = ids.clone();
+    server.attended(move |mut peer| {
+        while peer.goes_on() {
+            let id = peer.id();
+            written.lock().unwrap().insert(id);
+        }
+    });
+    ids
+}
+
+/// Let the classes of a configuration have these deadlines, in milliseconds.
+fn deadlines(config: &mut Value, all: [u64; 2]) {
+    for (class, ms) in config["settings"]["classes"].as_array_mut().unwrap().iter_mut().zip(all) {
+        class["deadline_ms"] = json!(ms as f64);
+        class["target_ms"] = json!(ms as f64 * 0.4);
+    }
+}
+
+/// Clients with a connection on which they have had an answer.
+fn known_clients(node: &Node, number: usize) -> Vec<Peer> {
+    let mut all: Vec<Peer> = (0..number).map(|_| node.client()).collect();
+    for client in &mut all {
+        client.send(HEALTH);
+        assert_eq!(client.message().status(), 200);
+    }
+    all
+}
+
+/// Wait until that moment, on a connection on which nothing comes meanwhile.
+fn until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Whoever sends on an open connection after SIGTERM has an answer before the node may be killed, which the longest
+/// deadline says; where it says so by the settings that were read last, by these. A connection may have ended instead,
+/// which the client sees before any server has its request.
+#[rstest]
+#[case::long([4_000, 6_000], None)]
+fn what_comes_after_sigterm_is_answered_before_the_kill(
+    #[case] old: [u64; 2],
+    #[case] new: Option<[u64; 2]>,
+) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    deadlines(&mut config, old);
+    let node = Node::start(&config);
+    let ids = hanging(server);
+    if let Some(new) = new {
+        deadlines(&mut config, new);
+        node.replace(&config.to_string());
+        node.hang_up();
+        node.logs("new settings hold");
+    }
+    let counted = new.unwrap_or(old);
+    let kill = ms(700 + counted.iter().max().unwrap().min(&3_000));
+    let clients = known_clients(&node, 16);
+    let told = Instant::now();
+    node.terminate();
+    node.logs("told to stop");
+    // One after the other from the time of new connections on, up to the kill.
+    let step = (kill - ms(750)) / 16;
+    let asking = |(k, mut client): (usize, Peer)| {
+        let ids = ids.clone();
+        std::thread::spawn(move || {
+            until(told + ms(750) + step * k as u32);
+            let (id, class) = (format!("r-{k}"), k % 2);
+            let text = job(&id, ["/zone-plan", "/actuator-cmd"][class], &format!("{}m", counted[class]), "");
+            client.send_if_open(&text);
+            if !client.goes_on() {
+                assert!(
+                    !ids.lock().unwrap().contains(&id),
+                    "{id} was sent on, and its connection was closed"
+                );
+                return (id, false, told.elapsed());
+            }
+            client.message();
+            (id, true, told.elapsed())
+        })
+    };
+    let threads: Vec<_> = clients.into_iter().enumerate().map(asking).collect();
+    let all: Vec<_> = threads.into_iter().map(|t| t.join().unwrap()).collect();
+    assert!(all.iter().any(|(_, answered, _)| *answered), "connections stay open for a while: {all:?}");
+    let late: Vec<_> = all.iter().filter(|(_, _, at)| *at >= kill).collect();
+    assert!(late.is_empty(), "the kill may come after {kill:?}: {late:?}");
+}
+
+/// What comes in the moment between the pages' 0.7 s, less their slack, and the time at which new connections are refused is
+/// bound to the last answer, too. The time that a server is told shows it.
+#[rstest]
+fn what_comes_right_before_the_refusal_is_answered_before_the_kill() {
+    let (node, server) = pair();
+    let told_times = Arc::new(Mutex::new(Vec::new()));
+    let times = told_times.clone();
+    server.attended(move |mut peer| {
+        while peer.goes_on() {
+            let request = peer.message();
+            let id = request.field("Request-Id").unwrap().to_string();
+            let left = request.field("Request-Timeout").and_then(|t| t.strip_suffix('u')).unwrap();
+            times.lock().unwrap().push((id.clone(), Duration::from_micros(left.parse().unwrap())));
+            peer.serve(&id, &id);
+        }
+    });
+    let mut clients = known_clients(&node, 8);
+    node.terminate();
+    node.logs("told to stop");
+    let (told, mut sent) = (Instant::now(), Vec::new());
+    for (k, client) in clients.iter_mut().enumerate() {
+        until(told + ms(655 + 10 * k as u64));
+        sent.push(told.elapsed());
+        client.send(&job(&k.to_string(), "/zone-plan", "5000m", ""));
+    }
+    for (k, client) in clients.iter_mut().enumerate() {
+        let answer = client.message();
+        assert!(answer.status() == 503 || answer.body == k.to_string(), "{answer:?}");
+    }
+    let all: Vec<_> = told_times
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|(id, left)| (sent[id.parse::<usize>().unwrap()], *left))
+        .collect();
+    assert!(!all.is_empty());
+    let late: Vec<_> = all.iter().filter(|(sent, left)| *sent + *left > ms(3_700)).collect();
+    assert!(late.is_empty(), "sent so long after SIGTERM, with so much left: {late:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -355,6 +355,11 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Send this, which the other side may no longer read.
+    pub fn send_if_open(&mut self, text: &str) {
+        let _ = self.stream.get_mut().write_all(text.as_bytes());
+    }
+
     /// Whether nothing comes for that time.
     pub fn hears_nothing(&mut self, time: Duration) -> bool {
         self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
