Let the times of stopping follow from the longest deadline in force, as the time of SIGKILL does

Cause: connections closed 2.0 s and the last answer was due 3.5 s after SIGTERM, whatever the settings (`LAST_REQUEST`, `LAST_ANSWER`). SIGKILL may come min(longest deadline, 3 s) + 0.7 s after SIGTERM: with deadlines of 1.2, 1.5 and 1.8 s after 2.5 s. What came over an open connection between 0.7 and 2.0 s was unanswered then. On a site with those deadlines: "lost, 8 times, first: node n3 took request 1.03 s after it was told to end, and had not answered it when its time to end was up".

Seen on the untouched tree, with a server that hangs and requests one after the other from 0.75 s to the kill: longest 1.8 s "the kill may come after 2.5s: [("r-7", true, 3.308908018s), ("r-10", true, 2.555229016s)]"; 1.2 s: 12 of 16 after 1.9 s, up to 2.95 s; 0.3 s: 10 of 16 after 1 s; 1.8 s after a SIGHUP: 8 of 16 after 2.5 s, up to 3.50 s.

Change: `Stopping` is made from the longest deadline of the settings in force at SIGTERM, after a SIGHUP the new ones. The last answer is due at min(longest, 3 s) + 0.7 s less 0.2 s (less a quarter of the longest deadline where that is shorter); connections close half of the counted longest deadline before it, at 0.75 s at the earliest. With 3 s and more that is 2.0 and 3.5 s, as before; with 1.8 s 1.4 and 2.3 s.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -260,6 +260,10 @@
             _ => None,
         }
     }
+    /// The longest time that a class's requests are waited for.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|c| micros(c.deadline_ms)).max().unwrap_or(0)
+    }
     /// How long a connection may take to come up; a second where the settings don't say.
     pub fn connect_timeout(&self) -> Micros {
         or(micros(self.allowed.connect_timeout_ms), 1_000_000)
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -400,6 +400,11 @@
         classes.map(|(k, c)| (name(k), (c.worth.max(0.0) * 1_000.0) as u64)).collect()
     }
 
+    /// The longest deadline of the settings in force.
+    pub fn longest_deadline(&self) -> Duration {
+        Duration::from_micros(self.inner.borrow().setup.longest_deadline().max(0) as u64)
+    }
+
     /// How backend servers warm up.
     pub fn pace(&self) -> Pace {
         let inner = self.inner.borrow();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -329,7 +329,7 @@
         _ = &mut accepting => return Err(ServeError::Part("frontend")),
     }
     info!("told to stop: {} requests are open", exchange.open());
-    let stopping = Stopping::new(Instant::now());
+    let stopping = Stopping::new(Instant::now(), exchange.longest_deadline());
     frontend.leave(stopping);
     let drained = async {
         deadlines.at(stopping.refuses()).await;
--- a/src/net/stopping.rs
+++ b/src/net/stopping.rs
@@ -1,4 +1,5 @@
-//! The times of a node that was told to stop.
+//! The times of a node that was told to stop. They follow from the longest deadline, as the time does at
+//! which it may be killed.
 
 use std::time::{Duration, Instant};
 
@@ -6,24 +7,23 @@
 const COMING: Duration = Duration::from_millis(700);
 /// Others may take a moment for this much earlier or later.
 const SLACK: Duration = Duration::from_millis(50);
-/// For this long after SIGTERM it serves the connections that clients have. Guards clients against
-/// having no node at all where the next one is told to stop before the last one is back: they go on
-/// using these connections for as long as they stay open.
-const LAST_REQUEST: Duration = Duration::from_millis(2_000);
-/// What comes after the time for new connections has its answer this long after SIGTERM at the latest:
-/// from then on the node may be killed.
-const LAST_ANSWER: Duration = Duration::from_millis(3_500);
+/// The longest deadline is counted as this where it is longer.
+const COUNTED: Duration = Duration::from_secs(3);
+/// What an answer may need to arrive, or a quarter of a shorter longest deadline.
+const ARRIVAL: Duration = Duration::from_millis(200);
 
 /// When a node that was told to stop does what.
 #[derive(Clone, Copy, Debug)]
 pub struct Stopping {
     told: Instant,
+    /// The longest deadline, as it is counted.
+    longest: Duration,
 }
 
 impl Stopping {
-    /// Told then.
-    pub fn new(told: Instant) -> Self {
-        Stopping { told }
+    /// Told then, by settings with that longest deadline.
+    pub fn new(told: Instant, longest: Duration) -> Self {
+        Stopping { told, longest: longest.min(COUNTED) }
     }
 
     /// Until then the node takes connections as before.
@@ -31,14 +31,22 @@
         self.told + COMING + SLACK
     }
 
-    /// Until then it serves the connections that clients have.
+    /// Until then it serves the connections that clients have. Guards clients against having no node at all
+    /// where the next one is told to stop before the last one is back: they go on using these connections for
+    /// as long as they stay open. What comes last still has half of the longest deadline.
     pub fn closes(&self) -> Instant {
-        self.told + LAST_REQUEST
+        (self.last_answer() - self.longest / 2).max(self.refuses())
+    }
+
+    /// What comes after the time for new connections has its answer by then: the longest deadline after that
+    /// time the node may be killed.
+    fn last_answer(&self) -> Instant {
+        self.told + COMING + self.longest - ARRIVAL.min(self.longest / 4)
     }
 
     /// How long what came then can be waited for, where the time to be killed bounds that.
     pub fn patience(&self, arrived: Instant) -> Option<Duration> {
         let bound = arrived >= self.told + COMING - SLACK;
-        bound.then(|| (self.told + LAST_ANSWER).saturating_duration_since(arrived))
+        bound.then(|| self.last_answer().saturating_duration_since(arrived))
     }
 }
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -57,7 +57,11 @@
 /// deadline says; where it says so by the settings that were read last, by these. A connection may have ended instead,
 /// which the client sees before any server has its request.
 #[rstest]
+#[case::short([1_200, 1_800], None)]
+#[case::shorter([1_200, 900], None)]
+#[case::tiny([300, 200], None)]
 #[case::long([4_000, 6_000], None)]
+#[case::after_sighup([4_000, 6_000], Some([1_500, 1_800]))]
 fn what_comes_after_sigterm_is_answered_before_the_kill(
     #[case] old: [u64; 2],
     #[case] new: Option<[u64; 2]>,
