Take what waits to be accepted before the listener closes after SIGTERM: at a full node, after a stand-still

Cause: `Frontend::accept` returned as soon as the stage turned to refusing, and the listener closed over its backlog: the system resets what is in it, with the requests that clients have sent. Two orders led there. A full node does not ask the listener at all (`if !full`), so all that waited was reset.

Seen: a node with 20 busy connections of 19 and 6 clients in the backlog, SIGTERM: "nobody has ended it" fails at 0.75 s. 100 clients that connect while the process stands still from right after SIGTERM to 1.0 s (2.3 s) after it: "Connection reset by peer".

Change: at refusing a full node goes on accepting as room comes, by evicting as always, until none waits or the connections close; and it looks at the listener once more after the runtime has looked at the sockets. Where another process has the socket nothing changes. The connections close at their time, whether or not accepting has ended.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -359,15 +359,20 @@
         }
     }
 
-    /// Accept connections until told to close.
+    /// Accept connections until told to refuse them; of those that wait by then all, as there is room, until
+    /// told to close.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         let (mut state, mut replaced) = (self.state.subscribe(), self.state.subscribe());
         self.state.send_modify(|s| s.accepts = true);
+        let mut looked = false;
         loop {
             // One more than allowed shows that another has to go. Only one that has ended makes room:
             // one that was told to go may have begun a request.
             let full = self.connections.get() > self.most.get();
             let waits = self.state.borrow().replaced;
+            // Guards those that wait at a full node: a listener that closes over them resets them, with the
+            // requests that they have sent. Where another process has the socket, they are its own.
+            let ends = if full && !waits { Stage::Closing } else { Stage::Refusing };
             let mut again = None;
             if full {
                 // Those just accepted come to stand idle first, and give way before usual clients do.
@@ -387,13 +392,25 @@
                 () = self.changed.notified(), if full => continue,
                 () = again => continue,
                 _ = replaced.wait_for(|s| s.replaced != waits) => continue,
-                _ = state.wait_for(|s| s.stage >= Stage::Refusing) => return,
+                _ = state.wait_for(|s| s.stage >= ends) => {
+                    // Guards those that came while the process stood still, as far as the time to refuse them: the
+                    // clock may have been looked at before the listener was.
+                    if full || waits || std::mem::replace(&mut looked, true) {
+                        return;
+                    }
+                    tokio::task::yield_now().await;
+                    continue;
+                }
             };
+            looked = false;
             match accepted {
                 Ok((stream, peer)) => self.serve(stream, peer),
                 // Guards against running out of descriptors: it passes, and must not spin or end us.
                 Err(e) => {
                     warn!("accepting: {e}");
+                    if self.state.borrow().stage == Stage::Closing {
+                        return;
+                    }
                     let _ = self.evict();
                     self.deadlines.after(PAUSE).await;
                 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -334,10 +334,16 @@
     let drained = async {
         deadlines.at(stopping.refuses()).await;
         frontend.refuse();
-        let _ = accepting.await;
-        info!("new connections are refused");
-        deadlines.at(stopping.closes()).await;
-        frontend.close();
+        let accepted = async {
+            let _ = accepting.await;
+            info!("new connections are refused");
+        };
+        let closes = async {
+            deadlines.at(stopping.closes()).await;
+            frontend.close();
+        };
+        // Those that wait at a full node are no reason to close any later.
+        tokio::join!(accepted, closes);
         frontend.ended().await;
         backend.shut_down().await;
         if let Some(fleet) = &fleet {
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -30,6 +30,18 @@
     ids
 }
 
+/// Serve whatever comes with its own id, once nobody holds the gate.
+fn serving_behind(server: Party, gate: &Arc<Mutex<()>>) {
+    let gate = gate.clone();
+    server.attended(move |mut peer| {
+        while peer.goes_on() {
+            let id = peer.id();
+            drop(gate.lock());
+            peer.serve(&id, &id);
+        }
+    });
+}
+
 /// Let the classes of a configuration have these deadlines, in milliseconds.
 fn deadlines(config: &mut Value, all: [u64; 2]) {
     for (class, ms) in config["settings"]["classes"].as_array_mut().unwrap().iter_mut().zip(all) {
@@ -149,3 +161,58 @@
     let late: Vec<_> = all.iter().filter(|(sent, left)| *sent + *left > ms(3_700)).collect();
     assert!(late.is_empty(), "sent so long after SIGTERM, with so much left: {late:?}");
 }
+
+/// Clients that have connected and asked while a full node could not accept them are taken as room comes, also after
+/// the time of new connections; the listener does not close over them.
+#[rstest]
+fn what_waits_at_a_full_node_is_answered_after_sigterm() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(70);
+    config["settings"]["projects"][0]["quota_rps"] = json!(1000.0);
+    let mut node = Node::start(&config);
+    let gate = Arc::new(Mutex::new(()));
+    let shut = gate.lock().unwrap();
+    serving_behind(server, &gate);
+    // One more than the 19 that are allowed, each with a job that is not answered yet.
+    let mut busy: Vec<Peer> = (0..20).map(|k| node.ask(&format!("busy-{k}"), "/zone-plan")).collect();
+    let mut health = node.client();
+    health.send(HEALTH);
+    assert!(health.hears_nothing(ms(200)), "it is full");
+    let mut waiting: Vec<Peer> = (0..6).map(|k| node.ask(&format!("waiting-{k}"), "/zone-plan")).collect();
+    node.terminate();
+    node.logs("told to stop");
+    assert!(waiting[5].hears_nothing(ms(900)), "nobody has ended it");
+    drop(shut);
+    let all = busy.iter_mut().chain(&mut waiting);
+    for (k, client) in all.enumerate() {
+        let answer = client.message();
+        assert!([200, 503].contains(&answer.status()), "{k}: {answer:?}");
+    }
+    assert_eq!(health.message().status(), 503);
+    assert!(node.exit().success());
+}
+
+/// Nor does it close over those that came while the process stood still over that time, or over the one at which it
+/// closes connections, too, however many.
+#[rstest]
+#[case::refusing(1_000)]
+#[case::closing(2_300)]
+fn what_came_while_the_process_stood_still_is_answered_after_sigterm(#[case] still: u64) {
+    let (mut node, server) = pair();
+    serving_behind(server, &Arc::default());
+    node.terminate();
+    node.logs("told to stop");
+    let told = Instant::now();
+    node.stand_still(true);
+    let mut clients: Vec<Peer> = (0..100).map(|k| node.ask(&k.to_string(), "/zone-plan")).collect();
+    assert!(told.elapsed() < ms(700), "they come in time");
+    until(told + ms(still));
+    node.stand_still(false);
+    for (k, client) in clients.iter_mut().enumerate() {
+        let answer = client.message();
+        assert!(answer.status() == 503 || answer.body == k.to_string(), "{k}: {answer:?}");
+    }
+    drop(clients);
+    assert!(node.exit().success());
+}
