Catch signals before the configuration is read, so that one that comes during the start ends no node

Cause: `run` set the handlers of SIGHUP, SIGTERM and SIGINT up once the configuration and the files of budgets and sites had been read. Until then the system's own action holds: a SIGHUP that went to all nodes while one was just restarted ended that one with no word, and SIGTERM ended it by the signal instead of with 0.

Seen: a node whose configuration is a pipe that the test holds open, one signal, then the file's end: the process is gone each time ("no '' in the log: channel is empty and sending half is closed").

Change: `Startup` makes the runtime and the three signals' streams first of all in `serve`, before any file is read; what came before is found when it serves. A reload that came during the start reads the file once more. What is left is the time from the program's beginning to its `main`, in which only the system can act.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use shorepath::net::config::{Config, ConfigError};
 use shorepath::net::fleet::Sharing;
 use shorepath::net::sites::{Siting, SitingError};
-use shorepath::net::Handing;
+use shorepath::net::{Handing, Startup};
 use shorepath_budgets::file as budgets;
 use shorepath_budgets::Skew;
 use std::path::{Path, PathBuf};
@@ -92,6 +92,8 @@
 fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
     match command {
         Command::Serve { verbose, no_handover, budgets, sites, state, offset, drift, config } => {
+            // Before anything is read: whatever a signal is about is newer.
+            let startup = Startup::new()?;
             let path = config.ok_or(ConfigError::Unnamed)?;
             let config = read(Some(&path))?;
             let skew = Skew { offset: offset.saturating_mul(1_000_000), drift_ppm: drift };
@@ -116,7 +118,7 @@
                 .with_target(false)
                 .init();
             let handing = if no_handover { Handing::Off } else { Handing::On };
-            shorepath::net::serve(config, handing, sharing, siting, move || {
+            shorepath::net::serve(startup, config, handing, sharing, siting, move || {
                 Config::read_again(&path, variable)
             })?;
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -97,16 +97,49 @@
 /// A process that takes over waits this long at most for discovery's list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 
+/// The program's runtime, and the signals that come from the moment on in which it was made. Guards against
+/// ending on a signal that comes while the configuration is read, which the system does to a program that does
+/// not handle it: a node that is told to read again, or to stop, while it starts has to serve first.
+#[derive(Debug)]
+pub struct Startup {
+    runtime: tokio::runtime::Runtime,
+    signals: Signals,
+}
+
+#[derive(Debug)]
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Startup {
+    /// Signals wait from now on, until the node serves.
+    pub fn new() -> Result<Self, ServeError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let signals = {
+            let _entered = runtime.enter();
+            Signals {
+                hangup: signal(SignalKind::hangup())?,
+                terminate: signal(SignalKind::terminate())?,
+                interrupt: signal(SignalKind::interrupt())?,
+            }
+        };
+        Ok(Startup { runtime, signals })
+    }
+}
+
 /// Serve until told to stop; `again` reads the configuration once more.
 pub fn serve(
+    startup: Startup,
     config: Config,
     handing: Handing,
     sharing: Option<Sharing>,
     siting: Option<Siting>,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, handing, sharing, siting, again))
+    let Startup { runtime, signals } = startup;
+    LocalSet::new().block_on(&runtime, run(signals, config, handing, sharing, siting, again))
 }
 
 /// Read the configuration again at each SIGHUP, for as long as the node runs.
@@ -169,6 +202,7 @@
 }
 
 async fn run(
+    signals: Signals,
     mut config: Config,
     handing: Handing,
     sharing: Option<Sharing>,
@@ -179,11 +213,7 @@
     // Guards deployments without doors, which may refuse Unix sockets, against being handed one.
     // Nor can two processes share what a site keeps on its disk.
     let handing = if config.mgmt.is_some() && siting.is_none() { handing } else { Handing::Off };
-    // Guards against ending on SIGHUP, which the system does to a program that does not handle it;
-    // first of all, and up to the last moment of a node that is stopping.
-    let hangup = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let Signals { hangup, mut terminate, mut interrupt } = signals;
     let (listener, before) = match handover::inherit(config.listen, handing) {
         Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
         None => (listen(config.listen).await?, None),
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -216,3 +216,45 @@
     drop(clients);
     assert!(node.exit().success());
 }
+
+/// A node that is still starting: it waits for its configuration.
+fn starting(config: &Value) -> (Node, std::path::PathBuf) {
+    let command = command(&[PROGRAM, "serve", "-v"], &config.to_string());
+    let named = command.get_envs().find(|(name, _)| *name == "ROUTER_CONFIG").and_then(|(_, file)| file);
+    let file = std::path::PathBuf::from(named.unwrap());
+    std::fs::remove_file(&file).unwrap();
+    assert!(std::process::Command::new("mkfifo").arg(&file).status().unwrap().success());
+    (Node::starting(command), file)
+}
+
+/// Signals that come while a node starts don't end it: it serves, by the configuration as it is by then, or stops in
+/// order.
+#[rstest]
+#[case::reload("-HUP")]
+#[case::stop("-TERM")]
+#[case::interrupt("-INT")]
+fn a_signal_during_the_start_ends_no_node_out_of_order(#[case] signal: &str) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    let (node, file) = starting(&config);
+    // It is open once the node reads it, and the node goes on only once all of it has come.
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&file).unwrap();
+    node.signal(signal);
+    std::io::Write::write_all(&mut pipe, config.to_string().as_bytes()).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    config["settings"]["classes"][1]["name"] = json!("vent-plan");
+    node.replace(&config.to_string());
+    drop(pipe);
+    let mut node = node.serving();
+    if signal == "-HUP" {
+        node.logs("new settings hold");
+        node.terminate();
+    }
+    node.logs("told to stop");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = server.accept();
+    backend.message();
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(node.exit().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -97,7 +97,12 @@
         Node::spawn(command)
     }
 
-    fn spawn(mut command: Command) -> Node {
+    fn spawn(command: Command) -> Node {
+        Node::starting(command).serving()
+    }
+
+    /// The program as it starts, whether or not it comes to serve.
+    pub fn starting(mut command: Command) -> Node {
         let named = command.get_envs().find(|(name, _)| *name == "ROUTER_CONFIG").and_then(|(_, file)| file);
         let file = PathBuf::from(named.unwrap());
         let mut child = command.spawn().unwrap();
@@ -110,15 +115,19 @@
                 std::mem::forget(lines);
             }
         });
-        let mut node = Node { child, file, address: ([127, 0, 0, 1], 1).into(), door: None, log, stall };
+        Node { child, file, address: ([127, 0, 0, 1], 1).into(), door: None, log, stall }
+    }
+
+    /// The same once it serves.
+    pub fn serving(mut self) -> Node {
         loop {
-            let line = node.logs("");
+            let line = self.logs("");
             let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
             if line.contains("operators call at ") {
-                node.door = address;
+                self.door = address;
             } else if line.contains("serves on ") {
-                node.address = address.unwrap();
-                return node;
+                self.address = address.unwrap();
+                return self;
             }
         }
     }
