Make a reload that was asked for before the stop before it, by one owner of the signals

Cause: SIGHUP was handled by a task of its own and SIGTERM by `run`. Where both are found in one turn of the runtime, as where the process stood still, `run` came first: the times of stopping were made from the settings that the reload was about to replace.

Seen: a stopped process that is sent SIGTERM and SIGHUP and goes on logs "told to stop" before "new settings hold", and a request 0.8 s later is told to the server with the patience of the old deadlines (seen twice of two).

Change: `run` alone takes the signals, SIGHUP first, while it serves and while it drains; `Reload::reread` takes settings, bounds and discovery's address over in one turn, as before, so that no request is judged by a mix of them. The task "configuration" is gone.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -142,28 +142,31 @@
     LocalSet::new().block_on(&runtime, run(signals, config, handing, sharing, siting, again))
 }
 
-/// Read the configuration again at each SIGHUP, for as long as the node runs.
-async fn reload(
-    mut hangup: Signal,
-    mut config: Config,
-    again: impl Fn() -> Result<Config, ConfigError>,
+/// What reads the configuration again.
+struct Reload<A> {
+    config: Config,
+    again: A,
     exchange: Rc<Exchange<Job>>,
     backend: Rc<Backend>,
     discovery: watch::Sender<SocketAddr>,
-    (fleet, sites): (Option<Rc<Fleet>>, Option<Rc<Sites>>),
-) {
-    while hangup.recv().await.is_some() {
-        if let Some(sites) = &sites {
+    fleet: Option<Rc<Fleet>>,
+    sites: Option<Rc<Sites>>,
+}
+
+impl<A: Fn() -> Result<Config, ConfigError>> Reload<A> {
+    /// Take over what the files say now, all of it in one turn: no request comes between.
+    fn reread(&mut self) {
+        if let Some(sites) = &self.sites {
             match sites.reread() {
                 Ok(version) => info!("files of sites and accounts read again: version {version}"),
                 Err(e) => warn!("the old files of sites and accounts stay: {e}"),
             }
         }
-        if let Some(fleet) = &fleet {
+        if let Some(fleet) = &self.fleet {
             match fleet.reread() {
                 Ok(version) => {
                     info!("file of budgets read again: version {version}");
-                    if let Some(auditing) = sites.as_ref().and_then(|s| s.auditing()) {
+                    if let Some(auditing) = self.sites.as_ref().and_then(|s| s.auditing()) {
                         let (version, content) = fleet.version();
                         auditing.took(Item::Budgets, content, Some(version), Why::Operator);
                     }
@@ -172,27 +175,27 @@
             }
         }
         // Guards against a file that can't be used: the node serves on by the old one, whole.
-        let renewed = match again().and_then(|newer| config.renew(newer)) {
+        let renewed = match (self.again)().and_then(|newer| self.config.renew(newer)) {
             Ok(renewed) => renewed,
             Err(e) => {
                 warn!("the old configuration stays: {e}");
-                continue;
+                return;
             }
         };
-        info!("configuration read again: discovery at {}", config.discovery);
+        info!("configuration read again: discovery at {}", self.config.discovery);
         if !renewed.waits.is_empty() {
             warn!("a restart is needed for what has changed in: {}", renewed.waits.join(", "));
         }
         if renewed.retuned {
             info!("new settings hold");
-            exchange.retune(config.setup.clone());
-            if let Some(auditing) = sites.as_ref().and_then(|s| s.auditing()) {
-                auditing.took(Item::Settings, config.settings, None, Why::Operator);
+            self.exchange.retune(self.config.setup.clone());
+            if let Some(auditing) = self.sites.as_ref().and_then(|s| s.auditing()) {
+                auditing.took(Item::Settings, self.config.settings, None, Why::Operator);
             }
-            backend.bound(Bounds::of(&config, exchange.parts()));
+            self.backend.bound(Bounds::of(&self.config, self.exchange.parts()));
         }
         if let Some(address) = renewed.moved {
-            discovery.send_replace(address);
+            self.discovery.send_replace(address);
         }
     }
 }
@@ -213,7 +216,7 @@
     // Guards deployments without doors, which may refuse Unix sockets, against being handed one.
     // Nor can two processes share what a site keeps on its disk.
     let handing = if config.mgmt.is_some() && siting.is_none() { handing } else { Handing::Off };
-    let Signals { hangup, mut terminate, mut interrupt } = signals;
+    let Signals { mut hangup, mut terminate, mut interrupt } = signals;
     let (listener, before) = match handover::inherit(config.listen, handing) {
         Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
         None => (listen(config.listen).await?, None),
@@ -326,7 +329,7 @@
             None => std::future::pending().await,
         }
     };
-    let read_again = (fleet.clone(), sites.as_ref().map(|s| s.0.clone()));
+    let read_again = sites.as_ref().map(|s| s.0.clone());
     let among_sites = sites.map(|(sites, written)| spawn_local(sites.follow(written)));
     let among_sites = async {
         match among_sites {
@@ -334,8 +337,15 @@
             None => std::future::pending().await,
         }
     };
-    let reload = reload(hangup, config, again, exchange.clone(), backend.clone(), discovery, read_again);
-    let reload = spawn_local(reload);
+    let mut reload = Reload {
+        config,
+        again,
+        exchange: exchange.clone(),
+        backend: backend.clone(),
+        discovery,
+        fleet: fleet.clone(),
+        sites: read_again,
+    };
 
     // Guards against a node that goes on without one of its parts: a panic ends only its task.
     let parts = async {
@@ -344,7 +354,6 @@
             _ = wake => "exchange",
             _ = orders => "backend",
             _ = table => "server table",
-            _ = reload => "configuration",
             _ = door => "door",
             _ = handover => "handover",
             () = takes_part => "fleet",
@@ -352,11 +361,17 @@
         }
     };
     let mut parts = std::pin::pin!(parts);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        part = &mut parts => return Err(ServeError::Part(part)),
-        _ = &mut accepting => return Err(ServeError::Part("frontend")),
+    loop {
+        tokio::select! {
+            biased;
+            // Guards the times of stopping against settings that were replaced before: both signals may be found
+            // in one turn, as where the process stood still.
+            Some(()) = hangup.recv() => reload.reread(),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            part = &mut parts => return Err(ServeError::Part(part)),
+            _ = &mut accepting => return Err(ServeError::Part("frontend")),
+        }
     }
     info!("told to stop: {} requests are open", exchange.open());
     let stopping = Stopping::new(Instant::now(), exchange.longest_deadline());
@@ -380,9 +395,14 @@
             fleet.leave().await;
         }
     };
-    tokio::select! {
-        () = drained => {}
-        part = &mut parts => return Err(ServeError::Part(part)),
+    let mut drained = std::pin::pin!(drained);
+    loop {
+        tokio::select! {
+            biased;
+            Some(()) = hangup.recv() => reload.reread(),
+            () = &mut drained => break,
+            part = &mut parts => return Err(ServeError::Part(part)),
+        }
     }
     info!("stopped");
     Ok(())
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -217,6 +217,31 @@
     assert!(node.exit().success());
 }
 
+/// A reload that was asked for before the stop is made before it: the new settings say when the node may be killed.
+#[rstest]
+fn a_reload_that_comes_with_the_stop_is_made_first() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    let node = Node::start(&config);
+    let mut clients = known_clients(&node, 1);
+    deadlines(&mut config, [900, 1_200]);
+    node.replace(&config.to_string());
+    node.stand_still(true);
+    node.signal("-TERM");
+    node.signal("-HUP");
+    let told = Instant::now();
+    node.stand_still(false);
+    assert!(node.logs_until("told to stop").iter().any(|l| l.contains("new settings hold")));
+    until(told + ms(800));
+    clients[0].send(&job("a", "/zone-plan", "5000m", ""));
+    let mut backend = server.accept();
+    let request = backend.message();
+    let left = request.field("Request-Timeout").and_then(|t| t.strip_suffix('u')).unwrap();
+    assert!(left.parse::<u64>().unwrap() < 1_100_000, "{left}");
+    backend.serve("a", "1");
+    assert_eq!(clients[0].message().body, "1");
+}
+
 /// A node that is still starting: it waits for its configuration.
 fn starting(config: &Value) -> (Node, std::path::PathBuf) {
     let command = command(&[PROGRAM, "serve", "-v"], &config.to_string());
