Wait on for the listening socket when a signal comes meanwhile

Cause: `receive` waits for the socket with a limit (SO_RCVTIMEO), and such a wait ends with EINTR at any signal that is handled, whatever its flags. The next process then took the serving one for unable, tried to bind the address, and ended: "can't listen".

Seen: the serving process stands still, the next one waits for it and is sent SIGHUP: it ends with no word more than its list ("no '' in the log: channel is empty and sending half is closed").

Change: the call is made again, with its own limit anew.

Measured: the test fails without the change and passes with it.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -6,6 +6,7 @@
 use super::frontend::{Frontend, Ids};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -68,7 +69,8 @@
     link.set_read_timeout(Some(PATIENCE))?;
     let (mut space, mut byte) = ([MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))], [0]);
     let mut handed = RecvAncillaryBuffer::new(&mut space);
-    recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut handed, RecvFlags::CMSG_CLOEXEC)?;
+    // Guards against a signal that comes meanwhile: a wait with a limit is not taken up again by itself.
+    retry_on_intr(|| recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut handed, RecvFlags::CMSG_CLOEXEC))?;
     let descriptors = handed.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
         _ => None,
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -230,7 +230,7 @@
 }
 
 /// Wait until the next process can find this one, by a name to which others have no access.
-fn published(old: &Node) {
+pub fn published(old: &Node) {
     let place = meeting_place().join(format!("shorepath-{}.sock", old.address));
     while !place.exists() {
         std::thread::yield_now();
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -1,5 +1,6 @@
 //! Signals, and the moments in which they come: a node that is told to stop, or to read its configuration again.
 
+use crate::operators::published;
 use crate::pair;
 use crate::support::*;
 use rstest::rstest;
@@ -283,3 +284,28 @@
     assert_eq!(client.message().body, "1");
     assert!(node.exit().success());
 }
+
+/// A signal that comes while the next process waits for the listening socket costs it neither that nor its start.
+#[rstest]
+fn a_signal_while_the_socket_is_handed_over_ends_no_process() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let old = Node::start(&config);
+    published(&old);
+    config["listen"] = json!(old.address.to_string());
+    // It can connect, and is handed nothing yet.
+    old.stand_still(true);
+    let new = Node::starting(command(&[PROGRAM, "serve", "-v"], &config.to_string()));
+    while !new.handles_hang_up() {
+        std::thread::yield_now();
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < ms(700) {
+        new.signal("-HUP");
+    }
+    old.stand_still(false);
+    let new = new.serving();
+    old.logs("the next process takes clients");
+    assert_eq!((new.call("GET", "/ops/readiness"), old.call("GET", "/ops/readiness")), (200, 503));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -200,6 +200,13 @@
         self.signal("-HUP");
     }
 
+    /// Whether it handles SIGHUP, as the system has it.
+    pub fn handles_hang_up(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let handled = status.lines().find_map(|l| l.strip_prefix("SigCgt:")).unwrap().trim();
+        u64::from_str_radix(handled, 16).unwrap() & 1 == 1
+    }
+
     /// Let the process stand still, or go on.
     pub fn stand_still(&self, still: bool) {
         self.signal(if still { "-STOP" } else { "-CONT" });
