Have the process before take clients again as soon as the next one is told to stop

Cause: the serving process stops accepting at the word "serving" and took clients again only at the end of the link, which is the other's end. A next process that is told to stop refuses connections after 0.75 s and may answer what it has for seconds: neither accepted meanwhile.

Seen: the next process holds a job and is told to stop; a client that connects after "new connections are refused" is served only once the other has stopped, 5 s later ("the other is still there" fails).

Change: a process that follows another tells it "leaving" when it is told to stop, and the other takes clients. An older process that does not know the word logs it and goes on as before.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -318,6 +318,12 @@
         }
     }
 
+    /// Ready once the node is going to stop.
+    pub async fn leaving(&self) {
+        // It does not end before the frontend.
+        let _ = self.state.subscribe().wait_for(|s| s.stage > Stage::Serving).await;
+    }
+
     /// The ids of open jobs.
     pub fn ids(&self) -> &RefCell<Ids> {
         &self.ids
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -199,7 +199,7 @@
         (*link.read_buffer_mut(), *link.write_buffer_mut()) = (BytesMut::new(), BytesMut::new());
         let ids = self.frontend.ids();
         let mut words = Ids::share(ids);
-        let (mut says, mut heard) = (follows, 0);
+        let (mut says, mut leaves, mut heard) = (follows, follows, 0);
         let ending = loop {
             let sent = tokio::select! {
                 word = link.next() => match word {
@@ -216,6 +216,10 @@
                     says = false;
                     link.send("serving".to_string()).await
                 }
+                () = self.frontend.leaving(), if leaves => {
+                    leaves = false;
+                    link.send("leaving".to_string()).await
+                }
             };
             if let Err(e) = sent {
                 warn!("the other process can't be heard: {e}");
@@ -235,6 +239,11 @@
                 info!("the next process takes clients: this one serves what it has");
                 self.frontend.hand_over(true);
             }
+            // Guards against a node without a process that accepts, for as long as the next one takes to stop.
+            None if word == "leaving" => {
+                info!("the next process is told to stop: this one takes clients");
+                self.frontend.hand_over(false);
+            }
             _ => warn!("the other process makes no sense"),
         }
     }
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -239,7 +239,7 @@
 }
 
 /// A process with a door, and its backend server, and another one started in its place.
-fn replaced() -> (Node, Node, Party, Value) {
+pub fn replaced() -> (Node, Node, Party, Value) {
     let server = Party::new();
     let mut config = config(&[server.address]);
     config["mgmt"] = json!("127.0.0.1:0");
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -1,6 +1,6 @@
 //! Signals, and the moments in which they come: a node that is told to stop, or to read its configuration again.
 
-use crate::operators::published;
+use crate::operators::{published, replaced};
 use crate::pair;
 use crate::support::*;
 use rstest::rstest;
@@ -309,3 +309,29 @@
     old.logs("the next process takes clients");
     assert_eq!((new.call("GET", "/ops/readiness"), old.call("GET", "/ops/readiness")), (200, 503));
 }
+
+/// The next process is told to stop while the one before it lives: that one takes clients again at once, and not only
+/// when the other has answered all that it had.
+#[rstest]
+fn the_process_before_takes_clients_again_once_the_next_is_told_to_stop() {
+    let (old, mut new, server, _) = replaced();
+    old.logs("the next process takes clients");
+    let mut held = new.ask("held", "/zone-plan");
+    let mut on_new = server.accept();
+    assert_eq!(on_new.id(), "held");
+    on_new.begin();
+    on_new.state("held", "started");
+    new.terminate();
+    new.logs("new connections are refused");
+    let mut client = old.ask("a", "/actuator-cmd");
+    let mut on_old = server.accept();
+    assert_eq!(on_old.id(), "a");
+    on_old.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(held.hears_nothing(ms(1)), "the other is still there");
+    on_new.finish("held", "2");
+    assert_eq!(held.message().body, "2");
+    assert!(new.exit().success());
+    old.logs("the next process has ended");
+    assert_eq!(old.call("GET", "/ops/readiness"), 200);
+}
