Test signals, lists and handovers in their odd moments: what holds already

No mend: orders of signals (twice, SIGINT, with and round a reload, while the process stands still), a stop before any list, half a list on its way when discovery moves, with a stop in that moment too, an emptied node over a reload and a stop, a restart while discovery is silent or deaf, and a next process that is told to stop before it takes over.

--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -1,8 +1,8 @@
 //! Signals, and the moments in which they come: a node that is told to stop, or to read its configuration again.
 
 use crate::operators::{published, replaced};
-use crate::pair;
 use crate::support::*;
+use crate::{following, listing, pair, watch, whole_list};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::collections::HashSet;
@@ -218,6 +218,30 @@
     assert!(node.exit().success());
 }
 
+/// Whichever signals tell it, and however often: what is held has its one answer, and the program ends well.
+#[rstest]
+#[case::twice(&["-TERM", "-TERM"])]
+#[case::interrupted(&["-INT"])]
+#[case::both(&["-INT", "-TERM", "-INT"])]
+#[case::then_reload(&["-TERM", "-HUP", "-HUP"])]
+#[case::after_reload(&["-HUP", "-TERM"])]
+fn signals_that_stop_a_node_cost_no_answer(#[case] signals: &[&str], #[values(false, true)] at_once: bool) {
+    let (mut node, server) = pair();
+    let mut held = node.ask("held", "/actuator-cmd");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "held");
+    node.stand_still(at_once);
+    signals.iter().for_each(|s| node.signal(s));
+    node.stand_still(false);
+    node.logs("told to stop");
+    signals.iter().for_each(|s| node.signal(s));
+    backend.serve("held", "1");
+    assert_eq!(held.message().body, "1");
+    assert!(held.ended(), "one answer");
+    assert!(node.exit().success());
+    assert!(server.is_left_alone());
+}
+
 /// A reload that was asked for before the stop is made before it: the new settings say when the node may be killed.
 #[rstest]
 fn a_reload_that_comes_with_the_stop_is_made_first() {
@@ -285,6 +309,116 @@
     assert!(node.exit().success());
 }
 
+/// Told to stop before any list has come: whoever asks is denied, and the program ends well.
+#[rstest]
+fn a_node_without_a_list_stops_in_order() {
+    let discovery = Party::new();
+    let mut node = Node::start(&following(&[], &discovery));
+    let _silent = discovery.accept();
+    let mut clients: Vec<Peer> = (0..3).map(|k| node.ask(&k.to_string(), "/zone-plan")).collect();
+    node.terminate();
+    node.logs("told to stop");
+    clients.push(node.ask("late", "/actuator-cmd"));
+    for client in &mut clients {
+        assert_eq!(client.message().status(), 503);
+        assert!(client.ended());
+    }
+    assert!(node.exit().success());
+}
+
+/// A list of which half has come when another discovery is named is not taken in, and neither is its rest; also when the
+/// node is told to stop right then, and a job goes where the new list says.
+#[rstest]
+#[case::serving(false)]
+#[case::stopping(true)]
+fn half_a_list_is_dropped_when_discovery_moves(#[case] stops: bool) {
+    let (known, wrong, right) = (Party::new(), Party::new(), Party::new());
+    let (first, second) = (Party::new(), Party::new());
+    let mut config = following(&[known.address], &first);
+    let mut node = Node::start(&config);
+    let (mut before, _) = watch(&first);
+    let list = listing(42, true, &[entry("s-wrong", wrong.address, "active")]);
+    before.send(&format!("{:x}\r\n{}", list.len() + 1, &list[..list.len() / 2]));
+    config["discovery"] = json!(second.address.to_string());
+    node.replace(&config.to_string());
+    node.hang_up();
+    if stops {
+        node.terminate();
+    }
+    let rest = format!("{}\n\r\n", &list[list.len() / 2..]);
+    node.logs("configuration read again");
+    before.send_if_open(&rest);
+    let mut after = whole_list(&second, &listing(7, true, &[entry("s-right", right.address, "active")]));
+    assert_eq!(after.message().first, "GET /catalog/members?watch=1&from=7 HTTP/1.1");
+    assert!(before.ended());
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = right.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(known.is_left_alone() && wrong.is_left_alone());
+    if stops {
+        assert!(node.exit().success());
+    }
+}
+
+/// A node that an operator has emptied stays so over a reload, and stops in order; jobs are served all the while.
+#[rstest]
+fn an_emptied_node_stays_so_over_a_reload_and_stops_in_order() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let mut node = Node::start(&config);
+    let mut held = node.ask("held", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "held");
+    assert_eq!(node.call("POST", "/ops/drain/start"), 200);
+    deadlines(&mut config, [1_200, 1_800]);
+    node.replace(&config.to_string());
+    node.hang_up();
+    node.logs("new settings hold");
+    assert_eq!(node.call("GET", "/ops/readiness"), 503);
+    let mut emptied = node.ask("emptied", "/zone-plan");
+    backend.serve("held", "1");
+    assert_eq!(held.message().body, "1");
+    assert_eq!(backend.id(), "emptied");
+    node.terminate();
+    node.logs("told to stop");
+    backend.serve("emptied", "2");
+    assert_eq!(emptied.message().body, "2");
+    let mut late = node.ask("late", "/zone-plan");
+    assert_eq!(backend.id(), "late");
+    backend.serve("late", "3");
+    assert_eq!(late.message().body, "3");
+    assert!(node.exit().success());
+}
+
+/// A restarted node serves by the list as last held, whatever discovery does: its first health is good, and a job is
+/// served.
+#[rstest]
+#[case::silent(true)]
+#[case::deaf(false)]
+fn a_restart_is_ready_while_discovery_is_slow(#[case] silent: bool) {
+    let (server, agent, (deaf, _kept)) = (Party::new(), Party::new(), deaf());
+    let mut config = config(&[server.address]);
+    config["discovery"] = json!(if silent { agent.address } else { deaf }.to_string());
+    for replicas in [1, 300] {
+        config["settings"]["replicas_of_me"] = json!(replicas);
+        let begun = Instant::now();
+        let mut node = Node::start(&config);
+        let mut client = known_clients(&node, 1).remove(0);
+        client.send(&job("a", "/zone-plan", "5000m", ""));
+        let mut backend = server.accept();
+        assert_eq!(backend.id(), "a");
+        backend.serve("a", "1");
+        assert_eq!(client.message().body, "1");
+        assert!(begun.elapsed() < Duration::from_secs(5), "{:?}", begun.elapsed());
+        drop(backend);
+        node.terminate();
+        assert!(node.exit().success());
+    }
+}
+
 /// A signal that comes while the next process waits for the listening socket costs it neither that nor its start.
 #[rstest]
 fn a_signal_while_the_socket_is_handed_over_ends_no_process() {
@@ -335,3 +469,34 @@
     old.logs("the next process has ended");
     assert_eq!(old.call("GET", "/ops/readiness"), 200);
 }
+
+/// A process that is told to stop while it waits for the list, before it takes clients over, ends well; the one before
+/// it serves on, and no client hears of it.
+#[rstest]
+fn a_process_that_stops_before_it_takes_over_costs_nothing() {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &discovery);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let old = Node::start(&config);
+    let _watched = discovery.accept();
+    published(&old);
+    config["listen"] = json!(old.address.to_string());
+    let mut new = Node::start(&config);
+    let _silent = discovery.accept();
+    new.terminate();
+    new.logs("told to stop");
+    for k in 0..20 {
+        let id = k.to_string();
+        let mut client = old.ask(&id, "/actuator-cmd");
+        let mut backend = server.accept();
+        assert_eq!(backend.id(), id);
+        backend.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        backend.send(&format!("{}\n", json!({"id": id, "state": "done", "result": "1"})));
+        drop(backend);
+        let answer = client.message();
+        assert_eq!((answer.status(), answer.field("Connection")), (200, None));
+    }
+    assert!(new.exit().success());
+    old.logs("the next process has ended");
+    assert_eq!(old.call("GET", "/ops/readiness"), 200);
+}
