Let a reload found after the stop bring the times of stopping forward, never back

Cause: that a reload which was asked for before the stop is made before it can't be had from the order of two streams alone: the system hands two signals to any thread of the process, in any order. In 85 runs of the test under load one logged "told to stop" before "new settings hold", with both signals sent to a stopped process; the times of stopping were then those of the old deadlines.

Change: a reload during the stop makes the counted longest deadline the shorter one of both, whichever came first; connections close, and answers are due, by that. The longer one may be the one that the node is killed by, or not: the shorter one is safe in either case.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -348,6 +348,17 @@
         self.enter(Stage::Leaving);
     }
 
+    /// Other settings hold while the node stops. Guards against a reload that was asked for before the stop and is
+    /// found after it: the system hands two signals to any thread, in any order.
+    pub fn hasten(&self, longest: Duration) {
+        self.stopping.set(self.stopping.get().map(|s| s.hastened(longest)));
+    }
+
+    /// When connections close, once the node is stopping.
+    pub fn closes(&self) -> Option<Instant> {
+        self.stopping.get().map(|s| s.closes())
+    }
+
     /// Accept no new connection but those that wait already.
     pub fn refuse(&self) {
         self.enter(Stage::Refusing);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -384,7 +384,9 @@
             info!("new connections are refused");
         };
         let closes = async {
-            deadlines.at(stopping.closes()).await;
+            if let Some(at) = frontend.closes() {
+                deadlines.at(at).await;
+            }
             frontend.close();
         };
         // Those that wait at a full node are no reason to close any later.
@@ -399,7 +401,10 @@
     loop {
         tokio::select! {
             biased;
-            Some(()) = hangup.recv() => reload.reread(),
+            Some(()) = hangup.recv() => {
+                reload.reread();
+                frontend.hasten(exchange.longest_deadline());
+            }
             () = &mut drained => break,
             part = &mut parts => return Err(ServeError::Part(part)),
         }
--- a/src/net/stopping.rs
+++ b/src/net/stopping.rs
@@ -26,6 +26,12 @@
         Stopping { told, longest: longest.min(COUNTED) }
     }
 
+    /// The same by settings that are read now: its times can only come sooner, or the node could be killed by
+    /// the older ones before it has answered.
+    pub fn hastened(self, longest: Duration) -> Self {
+        Stopping { longest: self.longest.min(longest), ..self }
+    }
+
     /// Until then the node takes connections as before.
     pub fn refuses(&self) -> Instant {
         self.told + COMING + SLACK
