--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -7,6 +7,7 @@
 use super::exchange::{Ask, Exchange, Ticket, Verdict};
 use super::pool::Pool;
 use super::sites::{Barred, Mark, Sites};
+use super::stopping::Stopping;
 use super::Job;
 use crate::api::{Entry, Micros};
 use futures_util::FutureExt;
@@ -109,8 +110,8 @@
     idle: RefCell<[Standing; 3]>,
     idled: Cell<u64>,
     ids: Rc<RefCell<Ids>>,
-    /// When the last answer is due, once the node is stopping.
-    last: Cell<Option<Instant>>,
+    /// The times that hold once the node is stopping.
+    stopping: Cell<Option<Stopping>>,
     state: watch::Sender<State>,
     /// This node among sites, where there are any.
     sites: RefCell<Option<Rc<Sites>>>,
@@ -258,7 +259,7 @@
             idle: RefCell::default(),
             idled: Cell::new(0),
             ids: Rc::default(),
-            last: Cell::new(None),
+            stopping: Cell::new(None),
             state: watch::channel(state).0,
             sites: RefCell::default(),
         })
@@ -317,6 +318,12 @@
         }
     }
 
+    /// Ready once the node is going to stop.
+    pub async fn leaving(&self) {
+        // It does not end before the frontend.
+        let _ = self.state.subscribe().wait_for(|s| s.stage > Stage::Serving).await;
+    }
+
     /// The ids of open jobs.
     pub fn ids(&self) -> &RefCell<Ids> {
         &self.ids
@@ -334,14 +341,26 @@
         self.state.send_modify(|s| s.stage = stage);
     }
 
-    /// The node is going to stop: it is no longer healthy, but serves as before.
-    pub fn leave(&self) {
+    /// The node is going to stop by these times: it is no longer healthy, but serves as before. What comes late
+    /// has its answer in time; from now on, or what comes right before connections are refused would be missed.
+    pub fn leave(&self, stopping: Stopping) {
+        self.stopping.set(Some(stopping));
         self.enter(Stage::Leaving);
     }
 
-    /// Accept no new connection. What still comes over the others is answered by then.
-    pub fn refuse(&self, last: Instant) {
-        self.last.set(Some(last));
+    /// Other settings hold while the node stops. Guards against a reload that was asked for before the stop and is
+    /// found after it: the system hands two signals to any thread, in any order.
+    pub fn hasten(&self, longest: Duration) {
+        self.stopping.set(self.stopping.get().map(|s| s.hastened(longest)));
+    }
+
+    /// When connections close, once the node is stopping.
+    pub fn closes(&self) -> Option<Instant> {
+        self.stopping.get().map(|s| s.closes())
+    }
+
+    /// Accept no new connection but those that wait already.
+    pub fn refuse(&self) {
         self.enter(Stage::Refusing);
     }
 
@@ -357,15 +376,20 @@
         }
     }
 
-    /// Accept connections until told to close.
+    /// Accept connections until told to refuse them; of those that wait by then all, as there is room, until
+    /// told to close.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         let (mut state, mut replaced) = (self.state.subscribe(), self.state.subscribe());
         self.state.send_modify(|s| s.accepts = true);
+        let mut looked = false;
         loop {
             // One more than allowed shows that another has to go. Only one that has ended makes room:
             // one that was told to go may have begun a request.
             let full = self.connections.get() > self.most.get();
             let waits = self.state.borrow().replaced;
+            // Guards those that wait at a full node: a listener that closes over them resets them, with the
+            // requests that they have sent. Where another process has the socket, they are its own.
+            let ends = if full && !waits { Stage::Closing } else { Stage::Refusing };
             let mut again = None;
             if full {
                 // Those just accepted come to stand idle first, and give way before usual clients do.
@@ -385,13 +409,25 @@
                 () = self.changed.notified(), if full => continue,
                 () = again => continue,
                 _ = replaced.wait_for(|s| s.replaced != waits) => continue,
-                _ = state.wait_for(|s| s.stage >= Stage::Refusing) => return,
+                _ = state.wait_for(|s| s.stage >= ends) => {
+                    // Guards those that came while the process stood still, as far as the time to refuse them: the
+                    // clock may have been looked at before the listener was.
+                    if full || waits || std::mem::replace(&mut looked, true) {
+                        return;
+                    }
+                    tokio::task::yield_now().await;
+                    continue;
+                }
             };
+            looked = false;
             match accepted {
                 Ok((stream, peer)) => self.serve(stream, peer),
                 // Guards against running out of descriptors: it passes, and must not spin or end us.
                 Err(e) => {
                     warn!("accepting: {e}");
+                    if self.state.borrow().stage == Stage::Closing {
+                        return;
+                    }
                     let _ = self.evict();
                     self.deadlines.after(PAUSE).await;
                 }
@@ -745,7 +781,7 @@
         let id = field("request-id")?.ok_or_else(|| malformed("no Request-Id"))?.to_string();
         let patience = field("request-timeout")?.ok_or_else(|| malformed("no Request-Timeout"))?;
         let patience = timeout(patience).ok_or_else(|| malformed("Request-Timeout is no time"))?;
-        let most = self.last.get().map(|last| last.saturating_duration_since(request.arrived));
+        let most = self.stopping.get().and_then(|s| s.patience(request.arrived));
         let patience = most.map_or(patience, |most| patience.min(most));
         let tenant = field("tenant")?.map(str::to_string);
         let number = tenant.as_deref().and_then(|t| self.exchange.tenant(t));
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -6,6 +6,7 @@
 use super::frontend::{Frontend, Ids};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -68,7 +69,8 @@
     link.set_read_timeout(Some(PATIENCE))?;
     let (mut space, mut byte) = ([MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))], [0]);
     let mut handed = RecvAncillaryBuffer::new(&mut space);
-    recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut handed, RecvFlags::CMSG_CLOEXEC)?;
+    // Guards against a signal that comes meanwhile: a wait with a limit is not taken up again by itself.
+    retry_on_intr(|| recvmsg(link, &mut [IoSliceMut::new(&mut byte)], &mut handed, RecvFlags::CMSG_CLOEXEC))?;
     let descriptors = handed.drain().filter_map(|message| match message {
         RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
         _ => None,
@@ -197,7 +199,7 @@
         (*link.read_buffer_mut(), *link.write_buffer_mut()) = (BytesMut::new(), BytesMut::new());
         let ids = self.frontend.ids();
         let mut words = Ids::share(ids);
-        let (mut says, mut heard) = (follows, 0);
+        let (mut says, mut leaves, mut heard) = (follows, follows, 0);
         let ending = loop {
             let sent = tokio::select! {
                 word = link.next() => match word {
@@ -214,6 +216,10 @@
                     says = false;
                     link.send("serving".to_string()).await
                 }
+                () = self.frontend.leaving(), if leaves => {
+                    leaves = false;
+                    link.send("leaving".to_string()).await
+                }
             };
             if let Err(e) = sent {
                 warn!("the other process can't be heard: {e}");
@@ -233,6 +239,11 @@
                 info!("the next process takes clients: this one serves what it has");
                 self.frontend.hand_over(true);
             }
+            // Guards against a node without a process that accepts, for as long as the next one takes to stop.
+            None if word == "leaving" => {
+                info!("the next process is told to stop: this one takes clients");
+                self.frontend.hand_over(false);
+            }
             _ => warn!("the other process makes no sense"),
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 pub mod recovering;
 pub mod server_table;
 pub mod sites;
+pub mod stopping;
 
 use backend::{Backend, Bounds};
 use backoff::Backoff;
@@ -41,6 +42,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use stopping::Stopping;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -92,54 +94,79 @@
     Start(#[from] std::io::Error),
 }
 
-/// After SIGTERM the node takes requests as before for this long: new connections and requests go on
-/// coming for 0.7 s, and each must be answered.
-const DRAIN: Duration = Duration::from_millis(750);
-/// For this long after SIGTERM it serves the connections that clients have. Guards clients against
-/// having no node at all where the next one is told to stop before the last one is back: they go on
-/// using these connections for as long as they stay open.
-const LAST_REQUEST: Duration = Duration::from_millis(2_000);
-/// What comes after the time for new connections has its answer this long after SIGTERM at the latest:
-/// from then on the node may be killed.
-const LAST_ANSWER: Duration = Duration::from_millis(3_500);
-
 /// A process that takes over waits this long at most for discovery's list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 
+/// The program's runtime, and the signals that come from the moment on in which it was made. Guards against
+/// ending on a signal that comes while the configuration is read, which the system does to a program that does
+/// not handle it: a node that is told to read again, or to stop, while it starts has to serve first.
+#[derive(Debug)]
+pub struct Startup {
+    runtime: tokio::runtime::Runtime,
+    signals: Signals,
+}
+
+#[derive(Debug)]
+struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Startup {
+    /// Signals wait from now on, until the node serves.
+    pub fn new() -> Result<Self, ServeError> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let signals = {
+            let _entered = runtime.enter();
+            Signals {
+                hangup: signal(SignalKind::hangup())?,
+                terminate: signal(SignalKind::terminate())?,
+                interrupt: signal(SignalKind::interrupt())?,
+            }
+        };
+        Ok(Startup { runtime, signals })
+    }
+}
+
 /// Serve until told to stop; `again` reads the configuration once more.
 pub fn serve(
+    startup: Startup,
     config: Config,
     handing: Handing,
     sharing: Option<Sharing>,
     siting: Option<Siting>,
     again: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, handing, sharing, siting, again))
+    let Startup { runtime, signals } = startup;
+    LocalSet::new().block_on(&runtime, run(signals, config, handing, sharing, siting, again))
 }
 
-/// Read the configuration again at each SIGHUP, for as long as the node runs.
-async fn reload(
-    mut hangup: Signal,
-    mut config: Config,
-    again: impl Fn() -> Result<Config, ConfigError>,
+/// What reads the configuration again.
+struct Reload<A> {
+    config: Config,
+    again: A,
     exchange: Rc<Exchange<Job>>,
     backend: Rc<Backend>,
     discovery: watch::Sender<SocketAddr>,
-    (fleet, sites): (Option<Rc<Fleet>>, Option<Rc<Sites>>),
-) {
-    while hangup.recv().await.is_some() {
-        if let Some(sites) = &sites {
+    fleet: Option<Rc<Fleet>>,
+    sites: Option<Rc<Sites>>,
+}
+
+impl<A: Fn() -> Result<Config, ConfigError>> Reload<A> {
+    /// Take over what the files say now, all of it in one turn: no request comes between.
+    fn reread(&mut self) {
+        if let Some(sites) = &self.sites {
             match sites.reread() {
                 Ok(version) => info!("files of sites and accounts read again: version {version}"),
                 Err(e) => warn!("the old files of sites and accounts stay: {e}"),
             }
         }
-        if let Some(fleet) = &fleet {
+        if let Some(fleet) = &self.fleet {
             match fleet.reread() {
                 Ok(version) => {
                     info!("file of budgets read again: version {version}");
-                    if let Some(auditing) = sites.as_ref().and_then(|s| s.auditing()) {
+                    if let Some(auditing) = self.sites.as_ref().and_then(|s| s.auditing()) {
                         let (version, content) = fleet.version();
                         auditing.took(Item::Budgets, content, Some(version), Why::Operator);
                     }
@@ -148,27 +175,27 @@
             }
         }
         // Guards against a file that can't be used: the node serves on by the old one, whole.
-        let renewed = match again().and_then(|newer| config.renew(newer)) {
+        let renewed = match (self.again)().and_then(|newer| self.config.renew(newer)) {
             Ok(renewed) => renewed,
             Err(e) => {
                 warn!("the old configuration stays: {e}");
-                continue;
+                return;
             }
         };
-        info!("configuration read again: discovery at {}", config.discovery);
+        info!("configuration read again: discovery at {}", self.config.discovery);
         if !renewed.waits.is_empty() {
             warn!("a restart is needed for what has changed in: {}", renewed.waits.join(", "));
         }
         if renewed.retuned {
             info!("new settings hold");
-            exchange.retune(config.setup.clone());
-            if let Some(auditing) = sites.as_ref().and_then(|s| s.auditing()) {
-                auditing.took(Item::Settings, config.settings, None, Why::Operator);
+            self.exchange.retune(self.config.setup.clone());
+            if let Some(auditing) = self.sites.as_ref().and_then(|s| s.auditing()) {
+                auditing.took(Item::Settings, self.config.settings, None, Why::Operator);
             }
-            backend.bound(Bounds::of(&config, exchange.parts()));
+            self.backend.bound(Bounds::of(&self.config, self.exchange.parts()));
         }
         if let Some(address) = renewed.moved {
-            discovery.send_replace(address);
+            self.discovery.send_replace(address);
         }
     }
 }
@@ -178,6 +205,7 @@
 }
 
 async fn run(
+    signals: Signals,
     mut config: Config,
     handing: Handing,
     sharing: Option<Sharing>,
@@ -188,11 +216,7 @@
     // Guards deployments without doors, which may refuse Unix sockets, against being handed one.
     // Nor can two processes share what a site keeps on its disk.
     let handing = if config.mgmt.is_some() && siting.is_none() { handing } else { Handing::Off };
-    // Guards against ending on SIGHUP, which the system does to a program that does not handle it;
-    // first of all, and up to the last moment of a node that is stopping.
-    let hangup = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let Signals { mut hangup, mut terminate, mut interrupt } = signals;
     let (listener, before) = match handover::inherit(config.listen, handing) {
         Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
         None => (listen(config.listen).await?, None),
@@ -305,7 +329,7 @@
             None => std::future::pending().await,
         }
     };
-    let read_again = (fleet.clone(), sites.as_ref().map(|s| s.0.clone()));
+    let read_again = sites.as_ref().map(|s| s.0.clone());
     let among_sites = sites.map(|(sites, written)| spawn_local(sites.follow(written)));
     let among_sites = async {
         match among_sites {
@@ -313,8 +337,15 @@
             None => std::future::pending().await,
         }
     };
-    let reload = reload(hangup, config, again, exchange.clone(), backend.clone(), discovery, read_again);
-    let reload = spawn_local(reload);
+    let mut reload = Reload {
+        config,
+        again,
+        exchange: exchange.clone(),
+        backend: backend.clone(),
+        discovery,
+        fleet: fleet.clone(),
+        sites: read_again,
+    };
 
     // Guards against a node that goes on without one of its parts: a panic ends only its task.
     let parts = async {
@@ -323,7 +354,6 @@
             _ = wake => "exchange",
             _ = orders => "backend",
             _ = table => "server table",
-            _ = reload => "configuration",
             _ = door => "door",
             _ = handover => "handover",
             () = takes_part => "fleet",
@@ -331,31 +361,53 @@
         }
     };
     let mut parts = std::pin::pin!(parts);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        part = &mut parts => return Err(ServeError::Part(part)),
-        _ = &mut accepting => return Err(ServeError::Part("frontend")),
+    loop {
+        tokio::select! {
+            biased;
+            // Guards the times of stopping against settings that were replaced before: both signals may be found
+            // in one turn, as where the process stood still.
+            Some(()) = hangup.recv() => reload.reread(),
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            part = &mut parts => return Err(ServeError::Part(part)),
+            _ = &mut accepting => return Err(ServeError::Part("frontend")),
+        }
     }
     info!("told to stop: {} requests are open", exchange.open());
-    let told = Instant::now();
-    frontend.leave();
+    let stopping = Stopping::new(Instant::now(), exchange.longest_deadline());
+    frontend.leave(stopping);
     let drained = async {
-        deadlines.at(told + DRAIN).await;
-        frontend.refuse(told + LAST_ANSWER);
-        let _ = accepting.await;
-        info!("new connections are refused");
-        deadlines.at(told + LAST_REQUEST).await;
-        frontend.close();
+        deadlines.at(stopping.refuses()).await;
+        frontend.refuse();
+        let accepted = async {
+            let _ = accepting.await;
+            info!("new connections are refused");
+        };
+        let closes = async {
+            if let Some(at) = frontend.closes() {
+                deadlines.at(at).await;
+            }
+            frontend.close();
+        };
+        // Those that wait at a full node are no reason to close any later.
+        tokio::join!(accepted, closes);
         frontend.ended().await;
         backend.shut_down().await;
         if let Some(fleet) = &fleet {
             fleet.leave().await;
         }
     };
-    tokio::select! {
-        () = drained => {}
-        part = &mut parts => return Err(ServeError::Part(part)),
+    let mut drained = std::pin::pin!(drained);
+    loop {
+        tokio::select! {
+            biased;
+            Some(()) = hangup.recv() => {
+                reload.reread();
+                frontend.hasten(exchange.longest_deadline());
+            }
+            () = &mut drained => break,
+            part = &mut parts => return Err(ServeError::Part(part)),
+        }
     }
     info!("stopped");
     Ok(())
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -230,7 +230,7 @@
 }
 
 /// Wait until the next process can find this one, by a name to which others have no access.
-fn published(old: &Node) {
+pub fn published(old: &Node) {
     let place = meeting_place().join(format!("shorepath-{}.sock", old.address));
     while !place.exists() {
         std::thread::yield_now();
@@ -239,7 +239,7 @@
 }
 
 /// A process with a door, and its backend server, and another one started in its place.
-fn replaced() -> (Node, Node, Party, Value) {
+pub fn replaced() -> (Node, Node, Party, Value) {
     let server = Party::new();
     let mut config = config(&[server.address]);
     config["mgmt"] = json!("127.0.0.1:0");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -97,7 +97,12 @@
         Node::spawn(command)
     }
 
-    fn spawn(mut command: Command) -> Node {
+    fn spawn(command: Command) -> Node {
+        Node::starting(command).serving()
+    }
+
+    /// The program as it starts, whether or not it comes to serve.
+    pub fn starting(mut command: Command) -> Node {
         let named = command.get_envs().find(|(name, _)| *name == "ROUTER_CONFIG").and_then(|(_, file)| file);
         let file = PathBuf::from(named.unwrap());
         let mut child = command.spawn().unwrap();
@@ -110,15 +115,19 @@
                 std::mem::forget(lines);
             }
         });
-        let mut node = Node { child, file, address: ([127, 0, 0, 1], 1).into(), door: None, log, stall };
+        Node { child, file, address: ([127, 0, 0, 1], 1).into(), door: None, log, stall }
+    }
+
+    /// The same once it serves.
+    pub fn serving(mut self) -> Node {
         loop {
-            let line = node.logs("");
+            let line = self.logs("");
             let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
             if line.contains("operators call at ") {
-                node.door = address;
+                self.door = address;
             } else if line.contains("serves on ") {
-                node.address = address.unwrap();
-                return node;
+                self.address = address.unwrap();
+                return self;
             }
         }
     }
@@ -191,6 +200,13 @@
         self.signal("-HUP");
     }
 
+    /// Whether it handles SIGHUP, as the system has it.
+    pub fn handles_hang_up(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let handled = status.lines().find_map(|l| l.strip_prefix("SigCgt:")).unwrap().trim();
+        u64::from_str_radix(handled, 16).unwrap() & 1 == 1
+    }
+
     /// Let the process stand still, or go on.
     pub fn stand_still(&self, still: bool) {
         self.signal(if still { "-STOP" } else { "-CONT" });
@@ -355,6 +371,11 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Send this, which the other side may no longer read.
+    pub fn send_if_open(&mut self, text: &str) {
+        let _ = self.stream.get_mut().write_all(text.as_bytes());
+    }
+
     /// Whether nothing comes for that time.
     pub fn hears_nothing(&mut self, time: Duration) -> bool {
         self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
