Notice a client that has gone behind what it sent early, and before its job is taken

Cause: while an answer was awaited, the connection was read only until one further item had come (frontend.rs, `connection`: `item = self.pool.next(connection), if next.is_none()`). From then on nobody saw its end, so the job that was out was tried again for a client that had gone, and each later one was taken in its turn. Second, a request was taken in the turn that read it (`reply`), although the end had come with it: a read that empties the socket clears what tokio knows of its readiness, and a new connection is read before it has been reported at all, so the end shows at the earliest with the next turn (seen by strace: the read of the request, the connect to the server, and only then the read that returned 0). Checked and ruled out: half a request behind the first one was noticed only where nothing whole lay between them; the decision module needs no change, it drops what it is told of.

Change: a job is taken after its sockets had one turn and one look behind it. While its answer is awaited and a next item waits, reading goes on into the connection's own buffer, up to the pool's one size (`Pool::read_ahead`, `early`); what was read is decoded after that item, in its order. Where more lies unread than that, the end is taken from the readiness of the socket, looked at every 25 ms. A client that has ended its sending counts as gone, as before. What a server has begun is not called off: that is the module's to decide and stays as it was.

Tests (tests/node/gone.rs): 68 cases of clients that close, stop sending, reset or leave an unread answer behind 1, 2, 200 jobs, half a head, half a body, malformed input and `Expect`, with all of it in the machine's buffer before the node reads or with more than the node's buffer holds; and what stays the same: early requests in order (200 short, 8 of 60,000 bytes, 40 of 5,000), bad input behind a good job, what comes after the last answer. `stand_still` now returns once every thread is stopped.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -5,7 +5,7 @@
 use super::deadlines::Deadlines;
 use super::ending::{Ending, Side};
 use super::exchange::{Ask, Exchange, Ticket, Verdict};
-use super::pool::Pool;
+use super::pool::{Ahead, Pool};
 use super::sites::{Barred, Mark, Sites};
 use super::Job;
 use crate::api::{Entry, Micros};
@@ -43,6 +43,9 @@
 /// The pause after each piece of that: a client that sends megabytes at full speed must not cost the
 /// node its CPU.
 const SIP: Duration = Duration::from_millis(5);
+/// Where more lies unread than is read ahead, how often the end behind it is looked for: well within the 0.1 s
+/// after which nothing may begin for a client that has gone.
+const LOOK: Duration = Duration::from_millis(25);
 /// Idle connections close this long after the node is told to send clients away: by then the front
 /// sends it no new ones, so that clients who come back go elsewhere, and all jobs on others have time.
 const DRAIN_IDLE: Duration = Duration::from_millis(800);
@@ -237,6 +240,8 @@
     Now(Answer),
     /// Its answer is to come; and what its account is told of it, where there are accounts.
     Later(Ticket<Job>, Option<Mark>),
+    /// Nothing: the job was not taken, as its client has gone.
+    Gone,
 }
 
 impl Frontend {
@@ -525,8 +530,9 @@
             *messages += 1;
             opened = None;
             let keep_alive = request.keep_alive;
-            let answer = match self.reply(request) {
+            let answer = match self.reply(connection, request).await {
                 Reply::Now(answer) => answer,
+                Reply::Gone => return Ending::PeerBroke,
                 Reply::Later(mut ticket, mark) => {
                     has_served = true;
                     let verdict = {
@@ -536,7 +542,7 @@
                             tokio::select! {
                                 biased;
                                 verdict = &mut verdict => break Some(verdict),
-                                item = self.pool.next(connection), if next.is_none() => match item {
+                                item = self.early(connection, next.is_some()) => match item {
                                     // The client has gone: dropping the ticket tells the exchange.
                                     None | Some(Err(ReadError::Io(_))) => break None,
                                     // It has sent its next request already.
@@ -582,6 +588,22 @@
         }
     }
 
+    /// What comes while an answer is awaited: the next thing or, where one waits already, the end alone.
+    async fn early(&self, connection: &mut Connection, waits: bool) -> Option<Result<Incoming, ReadError>> {
+        if !waits {
+            return self.pool.next(connection).await;
+        }
+        loop {
+            match self.pool.read_ahead(connection) {
+                Ahead::Ended => return None,
+                // An error shows again as that of the read.
+                Ahead::Open => drop(connection.get_ref().readable().await),
+                // Readable all the time: guards against a loop without end.
+                Ahead::Full => self.deadlines.after(LOOK).await,
+            }
+        }
+    }
+
     /// The next thing that comes, or why the connection ends without one.
     async fn next(
         &self,
@@ -685,13 +707,19 @@
     }
 
     /// What is to be done about a request.
-    fn reply(&self, request: Request) -> Reply {
+    async fn reply(&self, connection: &mut Connection, request: Request) -> Reply {
         let path = request.target.split('?').next().unwrap_or("");
         if path == "/_health" {
             return Reply::Now(self.health(&request));
         }
         match self.job(request) {
             Ok((mut ask, job)) => {
+                // Guards against sending on what nobody waits for: the end may have come along with the job. The
+                // sockets get a turn first, as what is known of them may be older than what was read.
+                tokio::task::yield_now().await;
+                if self.pool.read_ahead(connection) == Ahead::Ended {
+                    return Reply::Gone;
+                }
                 let mut mark = None;
                 if let Some(sites) = &*self.sites.borrow() {
                     if let Some((status, body)) = sites.answered(ask.class, &job) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,9 +4,11 @@
 use bytes::BytesMut;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::ops::Deref;
 use std::rc::Rc;
 use thiserror::Error;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
 
@@ -20,6 +22,17 @@
 #[error("no memory is left for a message")]
 pub struct NoMemory;
 
+/// How a connection stands behind what of it was read ahead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ahead {
+    /// More may come.
+    Open,
+    /// More may lie there than its buffer holds.
+    Full,
+    /// The other side has ended it.
+    Ended,
+}
+
 /// The buffers that wait to be used again, and what those that are out hold together.
 #[derive(Debug)]
 pub struct Pool {
@@ -46,22 +59,57 @@
         connection: &mut Framed<TcpStream, C>,
     ) -> Option<Result<C::Item, C::Error>> {
         loop {
-            if connection.read_buffer().is_empty() && connection.read_buffer().capacity() < SIZE {
-                let spent = std::mem::replace(connection.read_buffer_mut(), self.take());
-                self.give(spent);
-            }
+            self.lend(connection);
             // What has come, if only a part, stays in the buffer.
             if let Some(item) = connection.next().now_or_never() {
                 return item;
             }
-            if connection.read_buffer().is_empty() {
-                self.give(std::mem::take(connection.read_buffer_mut()));
-            }
+            self.take_back(connection);
             // An error shows again as that of the read.
             let _ = connection.get_ref().readable().await;
         }
     }
 
+    /// Read on behind an item that was decoded and that waits: what has come stays in the connection's buffer, up
+    /// to its one size, and is decoded after that item. Guards against missing the end of the connection, which
+    /// only shows behind all that came before it. `Framed` itself would not stop at what it can't hand on.
+    pub fn read_ahead<C>(&self, connection: &mut Framed<TcpStream, C>) -> Ahead {
+        self.lend(connection);
+        let mut bytes = std::mem::take(connection.read_buffer_mut());
+        let ahead = loop {
+            // Guards against a buffer that grows: it is full where its free part can't be had without that.
+            if !bytes.try_reclaim(1) {
+                let ready = connection.get_ref().ready(Interest::READABLE).now_or_never();
+                let ended = ready.is_some_and(|r| r.map_or(true, |r| r.is_read_closed()));
+                break if ended { Ahead::Ended } else { Ahead::Full };
+            }
+            match connection.get_ref().try_read_buf(&mut bytes) {
+                Ok(0) => break Ahead::Ended,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break Ahead::Open,
+                Err(_) => break Ahead::Ended,
+            }
+        };
+        *connection.read_buffer_mut() = bytes;
+        self.take_back(connection);
+        ahead
+    }
+
+    /// A connection of which something may be read needs a buffer.
+    fn lend<C>(&self, connection: &mut Framed<TcpStream, C>) {
+        if connection.read_buffer().is_empty() && connection.read_buffer().capacity() < SIZE {
+            let spent = std::mem::replace(connection.read_buffer_mut(), self.take());
+            self.give(spent);
+        }
+    }
+
+    /// One of which nothing has come needs none.
+    fn take_back<C>(&self, connection: &mut Framed<TcpStream, C>) {
+        if connection.read_buffer().is_empty() {
+            self.give(std::mem::take(connection.read_buffer_mut()));
+        }
+    }
+
     /// Write an item through a buffer that is given back once its last byte is written.
     pub async fn send<I, C: Encoder<I> + Decoder>(
         &self,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -6,6 +6,8 @@
 mod deployments;
 #[path = "node/fleet.rs"]
 mod fleet;
+#[path = "node/gone.rs"]
+mod gone;
 #[path = "node/homes.rs"]
 mod homes;
 #[path = "node/lending.rs"]
--- /dev/null
+++ b/tests/node/gone.rs
@@ -0,0 +1,233 @@
+//! How connections of clients end, from either side, in rare moments: clients that leave behind requests which
+//! they sent early, and bytes that arrive while the node ends a connection.
+
+use crate::support::*;
+use crate::{pair, HEAD};
+use rstest::rstest;
+use rustix::net::connect_unspec;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A job that nobody gives up for its time.
+fn patient(id: &str, body: &str) -> String {
+    job(id, "/zone-plan", "60000m", body)
+}
+
+fn several(count: usize) -> String {
+    (0..count).map(|k| patient(&format!("early-{k}"), "")).collect()
+}
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    /// It closes.
+    Closes,
+    /// It ends its sending, and would still read.
+    StopsSending,
+    /// It resets the connection.
+    Resets,
+    /// It closes over an answer that it has not read.
+    OverAnAnswer,
+}
+
+impl Leaves {
+    /// Its end is on the way once this returns: not by closing alone, which takes until no process that another
+    /// test is just starting holds the socket any more. What stays has to be kept for as long as the client is to
+    /// be there.
+    fn go(self, client: TcpStream) -> Option<TcpStream> {
+        match self {
+            Leaves::Closes => client.shutdown(Shutdown::Both).unwrap(),
+            Leaves::StopsSending => client.shutdown(Shutdown::Write).unwrap(),
+            Leaves::Resets => connect_unspec(&client).unwrap(),
+            Leaves::OverAnAnswer => {}
+        }
+        matches!(self, Leaves::StopsSending).then_some(client)
+    }
+}
+
+/// It is noticed that the client has gone, so that its job is not tried again once the attempt that is out is
+/// turned away.
+fn is_over(node: &Node, mut backend: Peer) {
+    ends_early(node);
+    backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    goes_unused(node, backend);
+}
+
+fn ends_early(node: &Node) {
+    let line = node.logs("end frontend");
+    assert!(line.contains("reason=peer-broke"), "{line}");
+}
+
+/// Nothing more comes over a connection to the server, which is then closed.
+fn goes_unused(node: &Node, mut backend: Peer) {
+    assert!(backend.hears_nothing(Duration::from_millis(20)));
+    drop(backend);
+    node.logs("end backend");
+}
+
+/// What comes next to the server is this job: nothing of a client that has gone came before.
+fn only_the_next_comes(node: &Node, server: &Party) {
+    let mut client = node.ask("next", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "next");
+    backend.serve("next", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(server.is_left_alone());
+}
+
+/// A client leaves while its first job is out, with more behind it that has been read: that job is not tried again,
+/// and nothing else is sent on.
+#[rstest]
+#[case::one(several(1))]
+#[case::two(several(2))]
+#[case::two_hundred(several(200))]
+#[case::half_a_request(several(1) + "POST /zone-plan HTT")]
+#[case::half_a_body(several(1) + patient("half", "0123456789").trim_end_matches("89"))]
+#[case::malformed("hello\r\n\r\n".to_string())]
+#[case::malformed_later(several(3) + "hello\r\n\r\n")]
+#[case::expects(format!("POST /zone-plan HTTP/1.1\r\n{HEAD}Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"))]
+fn a_client_that_leaves_behind_early_requests_has_gone(
+    #[case] behind: String,
+    #[values(Leaves::Closes, Leaves::StopsSending, Leaves::Resets, Leaves::OverAnAnswer)] leaves: Leaves,
+) {
+    let (node, server) = pair();
+    let mut client = TcpStream::connect(node.address).unwrap();
+    let before = if matches!(leaves, Leaves::OverAnAnswer) { HEALTH } else { "" };
+    client.write_all(format!("{before}{}{behind}", patient("first", "")).as_bytes()).unwrap();
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    let _kept = leaves.go(client);
+    is_over(&node, backend);
+    only_the_next_comes(&node, &server);
+}
+
+/// The same where everything, the end too, has come before the node reads any of it: nothing is sent on at all.
+#[rstest]
+#[case::nothing(String::new())]
+#[case::one(several(1))]
+#[case::two_hundred(several(200))]
+#[case::half_a_request("POST /zone-plan HTT".to_string())]
+#[case::malformed("hello\r\n\r\n".to_string())]
+fn a_client_that_has_left_before_it_is_read_has_gone(
+    #[case] behind: String,
+    #[values(Leaves::Closes, Leaves::StopsSending, Leaves::Resets)] leaves: Leaves,
+    #[values(false, true)] opened_before: bool,
+) {
+    let (node, server) = pair();
+    let open = || TcpStream::connect(node.address).unwrap();
+    let mut before = opened_before.then(|| Peer::new(open()));
+    if let Some(client) = &mut before {
+        client.send(HEALTH);
+        assert_eq!(client.message().status(), 200);
+    }
+    node.stand_still(true);
+    let mut client = before.map_or_else(open, Peer::into_stream);
+    client.write_all(format!("{}{behind}", patient("first", "")).as_bytes()).unwrap();
+    let _kept = leaves.go(client);
+    node.stand_still(false);
+    ends_early(&node);
+    only_the_next_comes(&node, &server);
+}
+
+/// More lies behind the first job than the node takes in ahead: the end behind that is noticed as well.
+#[rstest]
+fn a_client_that_leaves_behind_more_than_is_read_ahead_has_gone(
+    #[values(Leaves::Closes, Leaves::StopsSending, Leaves::Resets)] leaves: Leaves,
+    #[values(false, true)] at_once: bool,
+) {
+    let (node, server) = pair();
+    let bodies = [60_000, 60_000, 30_000].map(|length| "x".repeat(length));
+    let behind: String = bodies.iter().enumerate().map(|(k, b)| patient(&format!("early-{k}"), b)).collect();
+    let mut client = TcpStream::connect(node.address).unwrap();
+    client.write_all(patient("first", "").as_bytes()).unwrap();
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    node.stand_still(at_once);
+    client.write_all(behind.as_bytes()).unwrap();
+    if !at_once {
+        // Whatever of it is read is read by then.
+        assert!(backend.hears_nothing(Duration::from_millis(100)));
+    }
+    let _kept = leaves.go(client);
+    node.stand_still(false);
+    is_over(&node, backend);
+    only_the_next_comes(&node, &server);
+}
+
+/// What is sent early is answered in its order where the client stays, however much it is.
+#[rstest]
+#[case::short(200, 0)]
+#[case::long(8, 60_000)]
+#[case::in_between(40, 5_000)]
+fn early_requests_are_answered_in_their_order(#[case] count: usize, #[case] length: usize) {
+    let (node, server) = pair();
+    let body = |k: usize| format!("{k:05}").chars().cycle().take(length).collect::<String>();
+    let text: String = (0..count).map(|k| patient(&format!("early-{k}"), &body(k))).collect();
+    let stream = TcpStream::connect(node.address).unwrap();
+    let mut writes = stream.try_clone().unwrap();
+    std::thread::spawn(move || text.as_bytes().chunks(7_001).try_for_each(|piece| writes.write_all(piece)));
+    let mut client = Peer::new(stream);
+    let mut backend = server.accept();
+    for k in 0..count {
+        let request = backend.message();
+        assert_eq!(request.field("Request-Id"), Some(format!("early-{k}").as_str()));
+        assert!(request.body == body(k), "the body of {k} has changed");
+        if k % 7 == 0 {
+            // More of it is read meanwhile.
+            assert!(client.hears_nothing(Duration::from_millis(20)));
+        }
+        backend.serve(&format!("early-{k}"), &k.to_string());
+        assert_eq!(client.message().body, k.to_string());
+    }
+    assert!(server.is_left_alone());
+}
+
+/// What can't be read ends its connection, after the answers to what came before it.
+#[rstest]
+#[case::malformed("hello\r\n\r\n", 400)]
+#[case::unknown("GET /other HTTP/1.1\r\nHost: h\r\n\r\n", 404)]
+#[case::too_long("POST /zone-plan HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n\r\n", 413)]
+fn bad_input_behind_a_job_is_answered_after_it(#[case] behind: &str, #[case] status: u16) {
+    let (node, server) = pair();
+    let mut client = node.client();
+    client.send(&format!("{}{behind}{}", patient("good", ""), patient("never", "")));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "good");
+    backend.serve("good", "1");
+    assert_eq!(client.message().body, "1");
+    let answer = client.message();
+    assert_eq!((answer.status(), answer.field("Connection")), (status, Some("close")));
+    assert!(client.ended());
+    goes_unused(&node, backend);
+    only_the_next_comes(&node, &server);
+}
+
+/// After the answer that is told to be the last, nothing that comes is sent on, whether it lay behind or comes
+/// once the client has seen the end.
+#[rstest]
+#[case::close("HTTP/1.1", "Connection: close\r\n")]
+#[case::older("HTTP/1.0", "")]
+fn what_comes_after_the_last_answer_goes_nowhere(
+    #[case] version: &str,
+    #[case] field: &str,
+    #[values(false, true)] behind: bool,
+) {
+    let (node, server) = pair();
+    let mut client = node.client();
+    let last = patient("last", "").replace("HTTP/1.1\r\n", &format!("{version}\r\n{field}"));
+    client.send(&(last + if behind { patient("behind", "") } else { String::new() }.as_str()));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "last");
+    backend.serve("last", "1");
+    let answer = client.message();
+    assert_eq!((answer.body.as_str(), answer.field("Connection")), ("1", Some("close")));
+    assert!(client.ended());
+    client.send(&patient("after", ""));
+    drop(client);
+    node.logs("reason=last-message messages=1");
+    goes_unused(&node, backend);
+    only_the_next_comes(&node, &server);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -191,9 +191,23 @@
         self.signal("-HUP");
     }
 
-    /// Let the process stand still, or go on.
+    /// Let the process stand still, or go on. It does stand still once this returns.
     pub fn stand_still(&self, still: bool) {
         self.signal(if still { "-STOP" } else { "-CONT" });
+        let end = Instant::now() + LONG;
+        while still && !self.stands_still() {
+            assert!(Instant::now() < end, "it does not stop");
+            std::thread::yield_now();
+        }
+    }
+
+    /// Whether each of its threads is stopped.
+    fn stands_still(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let stat = |thread: std::fs::DirEntry| std::fs::read_to_string(thread.path().join("stat")).ok();
+        let states = threads.flatten().filter_map(stat);
+        // The state comes after the name, which is in brackets; it is a small letter under a tracer.
+        states.into_iter().all(|stat| stat.rsplit(')').next().unwrap().trim_start().starts_with(['T', 't']))
     }
 
     /// Lift the bound on its files, which it was started with.
@@ -351,6 +365,11 @@
         Peer { stream: BufReader::new(stream) }
     }
 
+    /// The bare connection; what of it is read ahead is lost.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream.into_inner()
+    }
+
     pub fn send(&mut self, text: &str) {
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
