Look once more before a connection gives way, and close just one for each that comes

Cause: three faults in one place. `next` gave a connection that was told to go no last look at its socket, as it gives the others (`over != Ending::Evicted`): where the process had stood still, or an accept failed before the sockets had a turn, the rest of a request lay in the machine's buffer, was dropped unread, and the close over it reset the connection. `accept` looked whether the node is full, gave the others a turn, in which one that had been told to go ended, and then sent one more away: two or more went for each that came. And an evicted or idle connection was closed without ending its sending first (`serve`), so that bytes arriving in that instant reset the answer on its way.

Change: every connection that the node ends looks once more, ends its sending, then reads and drops what is there; it lingers except where its room is needed. One of which a part has come by that look did not stand still and goes on. Those that were told to go are counted until they have ended or gone on (`going`, `rise`), and another is sent away only where their places do not do (`make_room`, which looks at the numbers as they are then); one that goes on says so, so that a full node looks for another at once.

Tests (tests/node/gone.rs): a node out of descriptors that stands still while the rest of a slow request arrives, all of it or a byte; five clients that come at once to a full node.

Not shown by a test: bytes that arrive between the last look and the close of an evicted connection. Nothing of the node waits between the two, so no order can be forced there; they are now dropped after the end of the sending.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -111,6 +111,8 @@
     /// What closes those on which nothing moves, by their rank.
     idle: RefCell<[Standing; 3]>,
     idled: Cell<u64>,
+    /// How many of them were told to go and have neither ended nor gone on yet.
+    going: Cell<usize>,
     ids: Rc<RefCell<Ids>>,
     /// When the last answer is due, once the node is stopping.
     last: Cell<Option<Instant>>,
@@ -262,6 +264,7 @@
             changed: Notify::new(),
             idle: RefCell::default(),
             idled: Cell::new(0),
+            going: Cell::new(0),
             ids: Rc::default(),
             last: Cell::new(None),
             state: watch::channel(state).0,
@@ -331,7 +334,7 @@
     pub fn bound(&self, most: usize) {
         self.most.set(most);
         for _ in most..self.connections.get() {
-            let _ = self.evict();
+            let _ = self.make_room();
         }
     }
 
@@ -375,7 +378,7 @@
             if full {
                 // Those just accepted come to stand idle first, and give way before usual clients do.
                 tokio::task::yield_now().await;
-                again = self.evict().err().flatten();
+                again = self.make_room().err().flatten();
             }
             let again = async {
                 match again {
@@ -404,6 +407,15 @@
         }
     }
 
+    /// Evict one if there are more connections than there may be without those that were told to go already.
+    /// Guards against closing more than one for each that comes: those look for what has come before they end.
+    fn make_room(&self) -> Result<(), Option<Instant>> {
+        match self.connections.get() > self.most.get() + self.going.get() {
+            true => self.evict(),
+            false => Err(None),
+        }
+    }
+
     /// Close the connection that can best be done without, or tell when the first may be.
     fn evict(&self) -> Result<(), Option<Instant>> {
         let (now, mut soonest) = (Instant::now(), None::<Instant>);
@@ -417,6 +429,7 @@
             if due > now {
                 soonest = Some(soonest.map_or(due, |s| s.min(due)));
             } else if let Some((_, close)) = standing.pop_first() {
+                self.going.set(self.going.get() + 1);
                 // One that is just ending by itself needs no telling.
                 let _ = close.send(());
                 return Ok(());
@@ -435,9 +448,8 @@
                 frontend.pool.framed::<Answer, _>(stream, FrontendCodec::new(&frontend.pool));
             let mut messages = 0;
             let ending = frontend.connection(&mut connection, &mut messages).await;
-            use Ending::{Drained, LastMessage, Malformed, Shutdown, TooSlow};
-            if matches!(ending, LastMessage | Malformed | Shutdown | Drained | TooSlow) {
-                frontend.linger(&mut connection).await;
+            if !matches!(ending, Ending::PeerClosed | Ending::PeerBroke) {
+                frontend.linger(&mut connection, ending == Ending::Evicted).await;
             }
             frontend.pool.release(connection);
             ending.log(Side::Frontend, peer, messages);
@@ -447,29 +459,34 @@
     }
 
     /// End the sending and read on for a moment: a socket closed over unread bytes is reset, which
-    /// can cost the client the answer that it was just sent.
-    async fn linger(&self, connection: &mut Connection) {
-        let (place, mut closed) = self.stand_idle(Rank::Silent);
-        let rest = async {
-            if connection.get_mut().shutdown().await.is_err() {
-                return;
+    /// can cost the client the answer that it was just sent. One whose room is needed reads what is there.
+    async fn linger(&self, connection: &mut Connection, makes_room: bool) {
+        if connection.get_mut().shutdown().await.is_err() {
+            return;
+        }
+        connection.read_buffer_mut().clear();
+        if !makes_room {
+            let (place, mut closed) = self.stand_idle(Rank::Silent);
+            tokio::select! {
+                () = self.read_out(connection) => {}
+                _ = &mut closed => {}
+                () = self.deadlines.after(LINGER) => {}
             }
-            loop {
-                connection.read_buffer_mut().clear();
-                let _ = connection.get_ref().readable().await;
-                match self.pool.scrap(connection) {
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    Ok(n) if n > 0 => self.deadlines.after(SIP).await,
-                    _ => return,
-                }
+            self.rise(place);
+        }
+        let _ = self.pool.scrap(connection);
+    }
+
+    /// Read and drop what still comes, until the client ends it.
+    async fn read_out(&self, connection: &Connection) {
+        loop {
+            let _ = connection.get_ref().readable().await;
+            match self.pool.scrap(connection) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Ok(n) if n > 0 => self.deadlines.after(SIP).await,
+                _ => return,
             }
-        };
-        tokio::select! {
-            () = rest => {}
-            _ = &mut closed => {}
-            () = self.deadlines.after(LINGER) => {}
         }
-        self.stir(place);
     }
 
     /// Take a place among the connections that may have to go.
@@ -489,7 +506,16 @@
         (rank, key)
     }
 
-    /// Give the place up, unless it had to be given up before.
+    /// Stand idle no more, be it to go on or to end. One that was told to go and goes on makes no room: another
+    /// may have to.
+    fn rise(&self, place: Place) {
+        if self.stir(place).is_none() {
+            self.going.set(self.going.get() - 1);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Give the place up, unless it was told to go.
     fn stir(&self, place: Place) -> Option<oneshot::Sender<()>> {
         self.idle.borrow_mut()[place.0 as usize].remove(&place.1)
     }
@@ -621,7 +647,7 @@
         let (mut ending, mut has_begun) = (None, opened.is_some());
         let item = loop {
             // What has come is read before anything closes the connection.
-            let over = tokio::select! {
+            let mut over = tokio::select! {
                 biased;
                 item = self.pool.next(connection) => break Ok(item),
                 () = begun.notified() => None,
@@ -629,14 +655,19 @@
                 over = &mut unwanted, if ending.is_none() => Some(over),
                 () = &mut due => Some(Ending::Idle),
             };
-            // One that is evicted makes room at once: the node is out of descriptors.
-            if over.is_some_and(|over| over != Ending::Evicted) {
+            if over.is_some() {
                 // Guards what has come by now: the clock may have been looked at before the sockets were, as
                 // where the process stood still. It would be read and thrown away.
                 tokio::task::yield_now().await;
                 if let Some(item) = self.pool.next(connection).now_or_never() {
                     break Ok(item);
                 }
+                // A part of a request has come: it did not stand still.
+                if over == Some(Ending::Evicted) && begun.notified().now_or_never().is_some() {
+                    self.rise(place);
+                    (place, closed) = self.stand_idle(Rank::Begun);
+                    over = None;
+                }
             }
             // One on which a request has begun is not idle: it may go on until its time is up.
             let partial = connection.codec().is_partial() || !connection.read_buffer().is_empty();
@@ -669,7 +700,7 @@
                 }
             }
         };
-        self.stir(place);
+        self.rise(place);
         item
     }
 
--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -5,6 +5,7 @@
 use crate::{pair, HEAD};
 use rstest::rstest;
 use rustix::net::connect_unspec;
+use serde_json::json;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -231,3 +232,91 @@
     goes_unused(&node, backend);
     only_the_next_comes(&node, &server);
 }
+
+/// The node is out of descriptors and stands still. The rest of a slow request arrives meanwhile, and the time is
+/// over after which that may be made to give way: it has moved, so it does not.
+#[rstest]
+#[case::whole(usize::MAX)]
+#[case::one_byte(1)]
+fn what_has_moved_by_then_does_not_give_way(#[case] more: usize) {
+    let server = Party::new();
+    let node = Node::start_as(
+        &["sh", "-c", "ulimit -n 32; exec \"$0\" serve -v", PROGRAM],
+        &config(&[server.address]),
+    );
+    let mut first = node.client();
+    first.send(&patient("first", ""));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    let text = patient("slow", "");
+    let (mut slow, mut sent) = (node.client(), 0_usize);
+    let mut piece = |slow: &mut Peer, length: usize| {
+        let end = sent.saturating_add(length).min(text.len());
+        slow.send(&text[sent..end]);
+        sent = end;
+    };
+    piece(&mut slow, 1);
+    // Jobs that wait can't give way: the server has one that has not started.
+    // More of them than it has descriptors for.
+    let _held: Vec<Peer> = (0..32).map(|k| node.ask(&format!("held-{k}"), "/zone-plan")).collect();
+    for _ in 0..4 {
+        node.logs("accepting: ");
+        piece(&mut slow, 1);
+        assert!(slow.hears_nothing(Duration::from_millis(10)));
+    }
+    node.stand_still(true);
+    piece(&mut slow, more);
+    assert!(slow.hears_nothing(Duration::from_millis(600)));
+    node.stand_still(false);
+    // It is known by then whether it has to go.
+    assert!(slow.hears_nothing(Duration::from_millis(100)), "it has to go");
+    piece(&mut slow, usize::MAX);
+    backend.serve("first", "1");
+    assert_eq!(first.message().body, "1");
+    serve_all(backend, server);
+    // There may be no descriptor to serve it with.
+    let answer = slow.message();
+    assert!((answer.status(), answer.body.as_str()) == (200, "slow") || answer.status() == 503, "{answer:?}");
+}
+
+/// As many give way as there are newcomers, although several come at once and those that have to go take a turn to
+/// look for what has come.
+#[rstest]
+fn one_gives_way_for_each_that_comes() {
+    let mut config = config(&[]);
+    config["limits"]["sockets"] = json!(70);
+    let node = Node::start(&config);
+    let answered = |client: &mut Peer| {
+        let sent = client.try_send(HEALTH);
+        sent && client.goes_on() && client.message().status() == 200
+    };
+    let mut clients: Vec<Peer> = (0..40).map(|_| node.client()).collect();
+    clients.retain_mut(answered);
+    // The last one that has to go may have to stand idle for a moment first.
+    assert!(clients.last_mut().unwrap().hears_nothing(Duration::from_millis(100)));
+    clients.retain_mut(answered);
+    let before = clients.len();
+    node.stand_still(true);
+    let mut newcomers: Vec<Peer> = (0..5).map(|_| node.client()).collect();
+    newcomers.iter_mut().for_each(|client| client.send(HEALTH));
+    node.stand_still(false);
+    for client in &mut newcomers {
+        assert_eq!(client.message().status(), 200);
+    }
+    assert!(newcomers.last_mut().unwrap().hears_nothing(Duration::from_millis(100)));
+    clients.retain_mut(answered);
+    newcomers.retain_mut(answered);
+    assert_eq!(clients.len() + newcomers.len(), before);
+}
+
+/// Serve whatever comes with its own id as its result.
+fn serve_all(first: Peer, server: Party) {
+    let serve = |mut peer: Peer| {
+        while peer.goes_on() {
+            let id = peer.id();
+            peer.serve(&id, &id);
+        }
+    };
+    std::thread::spawn(move || serve(first));
+    server.attended(serve);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -374,6 +374,11 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Whether the other side still takes it.
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.stream.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     /// Whether nothing comes for that time.
     pub fn hears_nothing(&mut self, time: Duration) -> bool {
         self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
