Give a request that begins in the moment of a drain the time of a request

Cause: where the drain ends a resting connection and a part of a request is found there by the last look, `next` marked it as begun and left it the deadline of a resting connection (frontend.rs, `(true, Some(Ending::Drained))`), as what else sets the time of a request goes by that mark. Such a connection stood for up to 60 s, and the node did not count as emptied. Checked and ruled out: a drain followed by SIGTERM; a request that has begun before the drain closed its connection ends 3.4 s after SIGTERM at the latest, before the last answer is due.

Change: it has the 2.3 s of a request from then on.

Test (tests/node/gone.rs): half a request, and a whole one, come while the node stands still over the end of the drain's pause.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -690,7 +690,12 @@
                 }
                 (true, Some(Ending::Idle)) => break Err(Ending::TooSlow),
                 // It has its time: what has begun is served before the node counts as emptied.
-                (true, Some(Ending::Drained)) => (ending, has_begun) = (Some(Ending::Drained), true),
+                (true, Some(Ending::Drained)) => {
+                    if !std::mem::replace(&mut has_begun, true) {
+                        due.set(self.deadlines.after(REQUEST));
+                    }
+                    ending = Some(Ending::Drained);
+                }
                 (true, Some(over)) => {
                     // Guards the end of the node against requests that are never completed.
                     if !due.is_within(PRESSED) {
--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -233,6 +233,42 @@
     only_the_next_comes(&node, &server);
 }
 
+/// A node with one backend server and a door.
+fn attended() -> (Node, Party) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    (Node::start(&config), server)
+}
+
+/// A request on a resting connection arrives in the moment in which the drain ends that: a whole one is served, and
+/// one that has begun has the usual time of a request, not that of a resting connection.
+#[rstest]
+fn a_request_that_crosses_the_drain_has_its_time(#[values(false, true)] whole: bool) {
+    let (node, server) = attended();
+    let mut client = node.client();
+    client.send(HEALTH);
+    assert_eq!(client.message().status(), 200);
+    assert_eq!(node.call("POST", "/ops/drain/start"), 200);
+    node.stand_still(true);
+    let text = patient("a", "");
+    client.send(if whole { &text } else { &text[..40] });
+    // Its end is due by then.
+    assert!(client.hears_nothing(Duration::from_millis(900)));
+    node.stand_still(false);
+    let went_on = Instant::now();
+    if whole {
+        let mut backend = server.accept();
+        assert_eq!(backend.id(), "a");
+        backend.serve("a", "1");
+        assert_eq!(client.message().body, "1");
+    } else {
+        assert_eq!(client.message().status(), 408);
+        assert!(went_on.elapsed() < Duration::from_secs(3), "{:?}", went_on.elapsed());
+    }
+    assert!(client.ended());
+}
+
 /// The node is out of descriptors and stands still. The rest of a slow request arrives meanwhile, and the time is
 /// over after which that may be made to give way: it has moved, so it does not.
 #[rstest]
