Answer a request that has come by the time its connection's last answer is written

Cause: whether an answer is the last of its connection, where the node closes, is drained or is replaced, was decided by what had been read (`pending` in frontend.rs, `connection`). Where the answer and the client's next request were seen in one turn, the answer came first, and the request, whole in the machine's buffer, was read and dropped after the end of the sending.

Change: there the sockets get a turn and one more look first, as `next` gives them before it closes a resting connection. A connection that is not about to be closed is looked at no more often than before.

Test (tests/node/gone.rs): the server's answer and the client's next request arrive while the node stands still, once drained and once told to stop, after a resting connection has shown that it closes them.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -96,6 +96,11 @@
             _ => None,
         }
     }
+
+    /// Whether a connection ends after its next answer, unless more has come.
+    fn sends_away(&self) -> bool {
+        self.stage == Stage::Closing || self.drained.is_some() || self.replaced
+    }
 }
 
 /// The connections from clients.
@@ -598,13 +603,17 @@
                     }
                 }
             };
+            let sends_away = self.state.borrow().sends_away();
+            if sends_away && next.is_none() && connection.read_buffer().is_empty() {
+                // Guards what has come by now, as in [`Frontend::next`].
+                tokio::task::yield_now().await;
+                next = self.pool.next(connection).now_or_never();
+            }
             // A request that has come already is still served.
             let pending = next.is_some() || !connection.read_buffer().is_empty();
-            let state = *self.state.borrow();
-            let closing = state.stage == Stage::Closing && !pending;
+            let closing = self.state.borrow().stage == Stage::Closing && !pending;
             // A client that is sent away hears it with its answer, and connects elsewhere next.
-            let sent_away = (state.drained.is_some() || state.replaced) && !pending;
-            let last = !keep_alive || closing || sent_away || answer.is_last();
+            let last = !keep_alive || (sends_away && !pending) || answer.is_last();
             if let Err(ending) = self.write(connection, last_if(answer, last)).await {
                 return ending;
             }
--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -269,6 +269,38 @@
     assert!(client.ended());
 }
 
+/// A request arrives behind the one whose answer is to be the last, in the moment in which that is written: it
+/// was there before, so it is answered too.
+#[rstest]
+fn a_request_that_crosses_the_last_answer_is_answered(#[values(false, true)] stops: bool) {
+    let (node, server) = attended();
+    let mut rests = node.client();
+    rests.send(HEALTH);
+    assert_eq!(rests.message().status(), 200);
+    let mut client = node.ask("first", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    backend.begin();
+    backend.state("first", "started");
+    if stops {
+        node.terminate();
+    } else {
+        assert_eq!(node.call("POST", "/ops/drain/start"), 200);
+    }
+    // From then on nothing rests.
+    assert!(rests.ended());
+    node.stand_still(true);
+    backend.finish("first", "1");
+    client.send(&job("second", "/zone-plan", "5000m", ""));
+    node.stand_still(false);
+    assert_eq!(client.message().body, "1");
+    assert_eq!(backend.id(), "second");
+    backend.serve("second", "2");
+    let answer = client.message();
+    assert_eq!((answer.body.as_str(), answer.field("Connection")), ("2", Some("close")));
+    assert!(client.ended());
+}
+
 /// The node is out of descriptors and stands still. The rest of a slow request arrives meanwhile, and the time is
 /// over after which that may be made to give way: it has moved, so it does not.
 #[rstest]
