Give processes of the rig addresses that nobody else can take

A node of the rig failed to start at times: "can't listen on 127.x.y.z:port: Address already in use". Two causes were seen. An address was found by listening at port 0 and closing that again; the system chooses such ports among some 7000, so rigs beside each other in one process got the same ones (936 different of 1000). And a process that is just being started holds a copy of every socket until its program runs: while four threads started processes, 8 of 1000 addresses could not be listened at right after the socket was closed, and 1 of 1000 still not 10 ms later.

One place gives addresses out now: the process's own loopback address, with ports counted through those that the system gives to nobody. It tries them with a socket that doesn't listen, a copy of which is in nobody's way.

--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Dividers beside the nodes, and the links that words between them take: every pair has links of its own, so each process has a
 //! file of its own that says where it finds the others.
 
+use crate::addresses::fresh;
 use crate::history::{At, History, What};
 use crate::play::{PlayError, LEASE, LONGEST, TERM};
 use crate::process::{Node, Stands};
@@ -9,7 +10,6 @@
 use std::cell::Cell;
 use std::fs::OpenOptions;
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -61,23 +61,6 @@
 /// A fleet that is founded gives grants within this.
 const FOUNDED: Duration = Duration::from_secs(30);
 
-/// Where processes listen: a loopback address of this rig's own, so that rigs beside each other take no ports from each other
-/// while a process is down.
-pub fn home() -> Ipv4Addr {
-    let [_, a, b, c] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 1 + a % 250, b, c)
-}
-
-/// A port that is free for connections and datagrams.
-pub fn free() -> std::io::Result<SocketAddr> {
-    loop {
-        let address = TcpListener::bind((home(), 0))?.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 /// A key beside the files, for words between processes; what files say of it.
 fn write_key(dir: &Path, seed: u64) -> std::io::Result<&'static str> {
     let mut file =
@@ -104,7 +87,7 @@
         let (n, d) = (script.nodes as usize, script.dividers as usize);
         let mut at = Vec::new();
         for _ in 0..n + d {
-            at.push(free()?);
+            at.push(fresh()?);
         }
         let name = |k: usize| if k < n { format!("n{k}") } else { format!("d{}", k - n) };
         let (mut words, mut among, mut members) = (Vec::new(), Vec::new(), Vec::new());
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! them, their discovery and their backend servers led through relays that delay, cut, hold back and break; a history of
 //! all that happened, and checkers that read nothing but the history.
 
+pub mod addresses;
 pub mod check;
 mod disks;
 pub mod fleet;
--- a/crates/rig/src/measure.rs
+++ b/crates/rig/src/measure.rs
@@ -1,7 +1,7 @@
 //! What sites cost and do, measured: real nodes of several sites on loopback beside real nodes without sites, in the same run and with the
 //! same clients and stand-ins. Figures go to `docs/sites.md`; nothing here judges them.
 
-use crate::fleet::home;
+use crate::addresses::{fresh, home};
 use crate::http::{Message, Reader};
 use crate::relay::{udp, Link};
 use rand::{RngExt, SeedableRng};
@@ -13,7 +13,7 @@
 use shorepath_lab::plot::{Plot, PlotError, Series};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -298,9 +298,7 @@
             }
             servers.push(own);
         }
-        let sockets = (0..n).map(|_| UdpSocket::bind((home(), 0))).collect::<Result<Vec<_>, _>>()?;
-        let at = sockets.iter().map(UdpSocket::local_addr).collect::<Result<Vec<_>, _>>()?;
-        drop(sockets);
+        let at = (0..n).map(|_| fresh()).collect::<Result<Vec<_>, _>>()?;
         let mut fleet = Fleet {
             program: program.to_path_buf(),
             dir,
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -1,7 +1,8 @@
 //! Play a script: start everything, do what it says, ask all the while, and write down what happens.
 
+use crate::addresses::fresh;
 use crate::check::{Shared, Terms};
-use crate::fleet::{home, Fleet};
+use crate::fleet::Fleet;
 use crate::history::{At, History, Record, Repeat, What};
 use crate::http::Reader;
 use crate::process::{Node, Stands};
@@ -17,7 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::ffi::OsString;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::pin::Pin;
@@ -232,8 +233,8 @@
             let told = sites.as_ref().map_or(0..script.servers, |s| s.servers(number));
             let tells = discovery.listen(number, addresses, told).await?;
             links.push(own);
-            // Kept at a free port through all of the node's processes.
-            let address = TcpListener::bind((home(), 0))?.local_addr()?;
+            // Kept through all of the node's processes.
+            let address = fresh()?;
             let known = discovery.known(number);
             let mut text = config(number, script.nodes, address, tells, known, script.seed);
             let path: PathBuf = dir.path().join(format!("n{number}.json"));
--- a/crates/rig/src/sites.rs
+++ b/crates/rig/src/sites.rs
@@ -4,8 +4,9 @@
 //! With dividers the keys of classes that must not repeat have homes, and each divider belongs to a site: its words take links of
 //! [`crate::fleet`], to which is done what is done to its site's.
 
+use crate::addresses::fresh;
 use crate::disks::{self, Place};
-use crate::fleet::{free, home, Fleet};
+use crate::fleet::Fleet;
 use crate::history::{History, What};
 use crate::http::Reader;
 use crate::play::PlayError;
@@ -22,7 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
@@ -94,8 +95,8 @@
         let n = script.nodes;
         let (mut at, mut doors) = (Vec::new(), Vec::new());
         for _ in 0..n {
-            at.push(free()?);
-            doors.push(TcpListener::bind((home(), 0))?.local_addr()?);
+            at.push(fresh()?);
+            doors.push(fresh()?);
         }
         let mut sites = Sites {
             history,
