Give tests addresses that stay free until their processes listen

Tests of the program and of dividers found an address by binding port 0 and closing that again, or held it until just before a process was started. Until that listens another test's socket may have the port, and a copy of the closed socket in a process that is being started keeps it. They take addresses from where the rig does now: those of nodes' and dividers' words, the one that refuses connections and is listened at later, and the one at which a node is started once more after both processes before it have ended.

Seen on loopback as the causes of the same fault in the rig.

--- a/crates/divider/tests/processes.rs
+++ b/crates/divider/tests/processes.rs
@@ -1,5 +1,10 @@
 //! Real dividers on loopback: founded, led, killed, halted, with a disk lost, and asked all the while.
 
+/// What gives out addresses to all that start processes.
+#[path = "../../rig/src/addresses.rs"]
+mod addresses;
+
+use addresses::fresh;
 use shorepath_budgets::file::{read, Plan};
 use shorepath_budgets::holder::Holder;
 use shorepath_budgets::words::{Claiming, Granting, Status, Word};
@@ -7,7 +12,7 @@
 use shorepath_divider::calls::{Call, Caller, Reply};
 use shorepath_envelope::keys::Keys;
 use shorepath_envelope::line::Line;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::UdpSocket;
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -53,18 +58,6 @@
     Line::new(NodeId::of("n0").0, life, "tidal", Keys::read(&lines.join("\n")).ok().as_ref())
 }
 
-/// So many addresses that nobody has, no two alike and none of them `but`: all are held until each is chosen.
-fn free(count: usize, but: SocketAddr) -> Vec<SocketAddr> {
-    let mut held = Vec::new();
-    while held.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        if listener.local_addr().unwrap() != but {
-            held.push(listener);
-        }
-    }
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 impl Fleet {
     fn new(dividers: usize) -> Fleet {
         Fleet::with(dividers, None)
@@ -73,9 +66,8 @@
     fn with(dividers: usize, key: Option<&str>) -> Fleet {
         let dir = tempfile::tempdir().unwrap();
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let mut others = free(dividers + 1, socket.local_addr().unwrap());
-        let other = others.pop().unwrap();
-        let places = others.iter().enumerate().map(|(k, address)| format!("(divider d{k} \"{address}\")"));
+        let other = fresh().unwrap();
+        let places = (0..dividers).map(|k| format!("(divider d{k} \"{}\")", fresh().unwrap()));
         let places: String = places.collect();
         let key = key.map_or(String::new(), |digits| {
             write_keys(&dir.path().join("fleet.key"), &[digits], 0o600);
--- a/tests/node/fleet.rs
+++ b/tests/node/fleet.rs
@@ -32,7 +32,7 @@
     fn new(name: &str) -> Divider {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         socket.set_read_timeout(Some(LONG)).unwrap();
-        let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let own = fresh();
         let file =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}.sexp", std::process::id()));
         let line = RefCell::new(Line::new(NodeId::of("d0").0, 1, "tidal", None));
--- a/tests/node/homes.rs
+++ b/tests/node/homes.rs
@@ -8,7 +8,6 @@
 use shorepath_budgets::{Life, NodeId};
 use shorepath_envelope::line::Line;
 use shorepath_sites::homes::{Homes, Kept};
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -19,9 +18,6 @@
 /// A fleet with a divider that runs until it is dropped.
 struct Fleet {
     files: Files,
-    /// Nobody else gets a node's address before it starts.
-    held: RefCell<Vec<UdpSocket>>,
-    addresses: Vec<SocketAddr>,
     budgets: PathBuf,
     /// It hears nothing and says nothing.
     silent: Arc<AtomicBool>,
@@ -38,12 +34,12 @@
         let mut files = Files::new(&format!("homes-{name}"));
         files.times = "(confirm 1 s) (alone 1 s) (hold 1 s)";
         (0..2).for_each(|node| files.sites(node, 1, ""));
-        let sockets: Vec<UdpSocket> = homes.iter().map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        let addresses: Vec<SocketAddr> = homes.iter().map(|_| fresh()).collect();
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         let own = socket.local_addr().unwrap();
         let mut text = format!("(budgets (version 1) (term 1 s) (divider d0 \"{own}\")");
-        for (k, (home, socket)) in homes.iter().zip(&sockets).enumerate() {
-            text += &format!(" (node n{k} \"{}\")", socket.local_addr().unwrap());
+        for (k, (home, address)) in homes.iter().zip(&addresses).enumerate() {
+            text += &format!(" (node n{k} \"{address}\")");
             text += &format!(" (budget home:{home} (per moment) (whole 1) (longest 500 ms))");
         }
         text += ")";
@@ -53,13 +49,10 @@
         let (silent, over) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let flags = (silent.clone(), over.clone());
         std::thread::spawn(move || divide(&socket, Divider::new("d0", plan, 7), &flags));
-        let addresses = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
-        Fleet { files, held: RefCell::new(sockets), addresses, budgets, silent, over }
+        Fleet { files, budgets, silent, over }
     }
 
     fn start(&self, node: usize, config: serde_json::Value) -> Node {
-        let own = self.addresses[node];
-        self.held.borrow_mut().retain(|s| s.local_addr().unwrap() != own);
         self.files.start_with(node, config, &["--budgets", self.budgets.to_str().unwrap()])
     }
 
--- a/tests/node/lending.rs
+++ b/tests/node/lending.rs
@@ -3,7 +3,7 @@
 use crate::support::*;
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::time::Instant;
@@ -22,11 +22,9 @@
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("lending-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let sockets = SITES.map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
-        let site = |(k, s): (usize, &UdpSocket)| {
-            format!("(site {} (node n{k} \"{}\") (bears 100))", SITES[k], s.local_addr().unwrap())
-        };
-        let sites: Vec<String> = sockets.iter().enumerate().map(site).collect();
+        let site =
+            |(k, name): (usize, &&str)| format!("(site {name} (node n{k} \"{}\") (bears 100))", fresh());
+        let sites: Vec<String> = SITES.iter().enumerate().map(site).collect();
         let text = format!(
             "(sites (fleet \"odense\") (key \"fleet.key\") (confirm 2 s) (alone 2500 ms) (hold 3 s)\n{} {lends})",
             sites.join("\n")
--- a/tests/node/operators.rs
+++ b/tests/node/operators.rs
@@ -243,8 +243,8 @@
     let server = Party::new();
     let mut config = config(&[server.address]);
     config["mgmt"] = json!("127.0.0.1:0");
+    config["listen"] = json!(fresh().to_string());
     let old = Node::start(&config);
-    config["listen"] = json!(old.address.to_string());
     published(&old);
     let new = Node::start(&config);
     (old, new, server, config)
@@ -340,7 +340,7 @@
         std::process::id()
     ));
     std::fs::create_dir_all(&place).unwrap();
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let free = fresh();
     config["listen"] = json!(free.to_string());
     if let Some(door) = door {
         config["mgmt"] = json!(door);
--- a/tests/node/recovery.rs
+++ b/tests/node/recovery.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -57,8 +57,7 @@
     pub fn new(name: &str, nodes: usize, clause: &str) -> Fleet {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("recovery-{}-{name}", std::process::id()));
-        let sockets: Vec<UdpSocket> = (0..nodes).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-        let addresses: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
+        let addresses: Vec<SocketAddr> = (0..nodes).map(|_| fresh()).collect();
         let listed: String =
             addresses.iter().enumerate().map(|(k, a)| format!("(node n{k} \"{a}\")")).collect();
         std::fs::create_dir_all(&folder).unwrap();
--- a/tests/node/sites.rs
+++ b/tests/node/sites.rs
@@ -3,7 +3,6 @@
 use crate::support::*;
 use rstest::rstest;
 use shorepath_envelope::keys::Keys;
-use std::cell::RefCell;
 use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
@@ -17,8 +16,6 @@
 pub struct Files {
     folder: PathBuf,
     addresses: [SocketAddr; 3],
-    /// Nobody else gets an address before its node starts.
-    held: RefCell<[Option<UdpSocket>; 3]>,
     /// What its files say of time.
     pub times: &'static str,
 }
@@ -27,10 +24,8 @@
     pub fn new(name: &str) -> Files {
         let folder =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("sites-{}-{name}", std::process::id()));
-        let sockets = [0, 1, 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
         let times = "(confirm 2 s) (alone 2500 ms) (hold 3 s)";
-        let addresses = [0, 1, 2].map(|k: usize| sockets[k].local_addr().unwrap());
-        let files = Files { folder, addresses, held: RefCell::new(sockets.map(Some)), times };
+        let files = Files { folder, addresses: [(); 3].map(|()| fresh()), times };
         for node in 0..3 {
             std::fs::create_dir_all(files.of(node)).unwrap();
             let key = files.of(node).join("fleet.key");
@@ -73,7 +68,6 @@
 
     /// Start it on a disk that takes the first bytes of a file only.
     fn start_full(&self, node: usize, server: &Party) -> Node {
-        self.held.borrow_mut()[node] = None;
         let mut config = config(&[server.address]);
         config["name"] = format!("n{node}").into();
         config["mgmt"] = "127.0.0.1:0".into();
@@ -89,7 +83,6 @@
     }
 
     pub fn start_with(&self, node: usize, mut config: serde_json::Value, more: &[&str]) -> Node {
-        self.held.borrow_mut()[node] = None;
         config["name"] = format!("n{node}").into();
         config["mgmt"] = "127.0.0.1:0".into();
         let (file, state) = (self.of(node).join("sites.sexp"), self.of(node).join("state"));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,9 @@
 //! The real program as a process, and the parties round it: clients, backend servers, discovery.
 
+/// One owner gives out addresses to all tests that start processes.
+#[path = "../../crates/rig/src/addresses.rs"]
+mod addresses;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -348,7 +352,12 @@
 
 /// An address that refuses connections.
 pub fn closed() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    fresh()
+}
+
+/// An address for somebody who listens later, or again. Until then it refuses connections, and nobody else gets it.
+pub fn fresh() -> SocketAddr {
+    addresses::fresh().unwrap()
 }
 
 /// A connection, from either side.
