Send signals from the test itself, so that times are counted from when they come

what_comes_after_sigterm_is_answered_before_the_kill counts from just before SIGTERM, but the signal was sent by a program that had to be started first. That took part of the 50 ms by which the node is ahead of the kill, which was taken for the node's own lateness. The system call is made by the test now; no bound changes.

--- a/tests/node/audit.rs
+++ b/tests/node/audit.rs
@@ -79,7 +79,7 @@
     files.sites(0, 3, AUDIT);
     node.hang_up();
     until(&node, |text| text.contains("\nsites 3/") && is_on_disk(text, 1));
-    node.signal("-KILL");
+    node.signal(Signal::KILL);
     node.exit();
 
     let key = Keys::read(KEY).unwrap().code(b"audit");
@@ -141,7 +141,7 @@
     files.sites(0, 1, AUDIT);
     let mut node = files.start(0, &server);
     until(&node, |text| is_on_disk(text, 2));
-    node.signal("-KILL");
+    node.signal(Signal::KILL);
     node.exit();
     let (name, all) = record(&files, 0);
     let (number, mut kept) = all[all.len() / 2].clone();
@@ -170,7 +170,7 @@
     };
     until(&nodes[1], |text| of(text, "n0", "1"));
     until(&nodes[0], |text| of(text, "n1", "1"));
-    nodes[0].signal("-KILL");
+    nodes[0].signal(Signal::KILL);
     nodes[0].exit();
     let (state, copy) = (files.of(0).join("state"), files.of(0).join("copy"));
     std::fs::create_dir(&copy).unwrap();
@@ -186,7 +186,7 @@
         told.lines().find(|l| l.starts_with("node n0 ")).unwrap().split(' ').find(|w| w.starts_with("last="));
     let last = last.unwrap().to_string();
     until(&nodes[1], |text| of(text, "n0", "2") && text.contains(&last));
-    nodes[0].signal("-KILL");
+    nodes[0].signal(Signal::KILL);
     nodes[0].exit();
     std::fs::remove_dir_all(&state).unwrap();
     std::fs::rename(&copy, &state).unwrap();
@@ -202,7 +202,7 @@
     let (files, server) = (Files::new("unaudited"), Party::new());
     let mut node = files.start(0, &server);
     assert_eq!(node.call("GET", "/ops/audit"), 404);
-    node.signal("-KILL");
+    node.signal(Signal::KILL);
     node.exit();
     let store = Store::open(&files.of(0).join("state"), 1 << 20).unwrap();
     assert_eq!(store.fact::<Value>("audit/record").unwrap(), None);
--- a/tests/node/homes.rs
+++ b/tests/node/homes.rs
@@ -279,7 +279,7 @@
     while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to) {
         assert!(begin.elapsed() < LONG);
     }
-    node.signal("-STOP");
+    node.signal(Signal::STOP);
     fleet.silent.store(true, Ordering::Relaxed);
     // The system makes the connection meanwhile.
     listener.set_nonblocking(true).unwrap();
@@ -292,7 +292,7 @@
         }
     };
     assert!(backend.hears_nothing(Duration::from_millis(1_500)), "longer than a lease");
-    node.signal("-CONT");
+    node.signal(Signal::CONT);
     assert!(backend.ended(), "a job was sent after the lease");
     assert_eq!(client.message().status(), 503);
     for mut again in listener.incoming().map_while(Result::ok).map(Peer::new) {
--- a/tests/node/recovery.rs
+++ b/tests/node/recovery.rs
@@ -520,7 +520,7 @@
         let load = Load::begin(&nodes.iter().map(|n| n.address).collect::<Vec<_>>(), round);
         std::thread::sleep(Duration::from_millis(u64::from(100 + (137 * (seed + round)) % 400)));
         // Power goes for all before the first is back.
-        nodes.iter().for_each(|n| n.signal("-KILL"));
+        nodes.iter().for_each(|n| n.signal(Signal::KILL));
         nodes.clear();
         asked.extend(load.end());
         let now = if round == 0 { kept } else { [Kept::Own; 5] };
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -221,21 +221,21 @@
 
 /// Whichever signals tell it, and however often: what is held has its one answer, and the program ends well.
 #[rstest]
-#[case::twice(&["-TERM", "-TERM"])]
-#[case::interrupted(&["-INT"])]
-#[case::both(&["-INT", "-TERM", "-INT"])]
-#[case::then_reload(&["-TERM", "-HUP", "-HUP"])]
-#[case::after_reload(&["-HUP", "-TERM"])]
-fn signals_that_stop_a_node_cost_no_answer(#[case] signals: &[&str], #[values(false, true)] at_once: bool) {
+#[case::twice(&[Signal::TERM, Signal::TERM])]
+#[case::interrupted(&[Signal::INT])]
+#[case::both(&[Signal::INT, Signal::TERM, Signal::INT])]
+#[case::then_reload(&[Signal::TERM, Signal::HUP, Signal::HUP])]
+#[case::after_reload(&[Signal::HUP, Signal::TERM])]
+fn signals_that_stop_a_node_cost_no_answer(#[case] signals: &[Signal], #[values(false, true)] at_once: bool) {
     let (mut node, server) = pair();
     let mut held = node.ask("held", "/actuator-cmd");
     let mut backend = server.accept();
     assert_eq!(backend.id(), "held");
     node.stand_still(at_once);
-    signals.iter().for_each(|s| node.signal(s));
+    signals.iter().for_each(|s| node.signal(*s));
     node.stand_still(false);
     node.logs("told to stop");
-    signals.iter().for_each(|s| node.signal(s));
+    signals.iter().for_each(|s| node.signal(*s));
     backend.serve("held", "1");
     assert_eq!(held.message().body, "1");
     assert!(held.ended(), "one answer");
@@ -262,9 +262,9 @@
     deadlines(&mut config, new);
     node.replace(&config.to_string());
     node.stand_still(!after);
-    node.signal("-TERM");
+    node.signal(Signal::TERM);
     let mut lines = if after { node.logs_until("told to stop") } else { Vec::new() };
-    node.signal("-HUP");
+    node.signal(Signal::HUP);
     node.stand_still(false);
     let told = Instant::now();
     for text in ["told to stop", "new settings hold"] {
@@ -295,10 +295,10 @@
 /// Signals that come while a node starts don't end it: it serves, by the configuration as it is by then, or stops in
 /// order.
 #[rstest]
-#[case::reload("-HUP")]
-#[case::stop("-TERM")]
-#[case::interrupt("-INT")]
-fn a_signal_during_the_start_ends_no_node_out_of_order(#[case] signal: &str) {
+#[case::reload(Signal::HUP)]
+#[case::stop(Signal::TERM)]
+#[case::interrupt(Signal::INT)]
+fn a_signal_during_the_start_ends_no_node_out_of_order(#[case] signal: Signal) {
     let server = Party::new();
     let mut config = config(&[server.address]);
     let (node, file) = starting(&config);
@@ -311,7 +311,7 @@
     node.replace(&config.to_string());
     drop(pipe);
     let mut node = node.serving();
-    if signal == "-HUP" {
+    if signal == Signal::HUP {
         node.logs("new settings hold");
         node.terminate();
     }
@@ -451,7 +451,7 @@
     }
     let begun = Instant::now();
     while begun.elapsed() < ms(700) {
-        new.signal("-HUP");
+        new.signal(Signal::HUP);
     }
     old.stand_still(false);
     let new = new.serving();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,8 @@
 #[path = "../../crates/rig/src/addresses.rs"]
 mod addresses;
 
+pub use rustix::process::Signal;
+use rustix::process::{kill_process, Pid};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -196,12 +198,12 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.signal(Signal::TERM);
     }
 
     /// Have it read its configuration again.
     pub fn hang_up(&self) {
-        self.signal("-HUP");
+        self.signal(Signal::HUP);
     }
 
     /// Whether it handles SIGHUP, as the system has it.
@@ -213,7 +215,7 @@
 
     /// Let the process stand still, or go on. It does stand still once this returns.
     pub fn stand_still(&self, still: bool) {
-        self.signal(if still { "-STOP" } else { "-CONT" });
+        self.signal(if still { Signal::STOP } else { Signal::CONT });
         let end = Instant::now() + LONG;
         while still && !self.stands_still() {
             assert!(Instant::now() < end, "it does not stop");
@@ -237,9 +239,9 @@
         assert!(Command::new("prlimit").args(lifts).status().unwrap().success());
     }
 
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    /// Sent from here, and there as this returns: a program that sends it may be late, and times are counted from now.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
     /// Replace its configuration.
