Let no signal cut a test's wait for what comes short

A read that waits with a limit ends with EINTR when the process was stopped and goes on. Tests took that for something that had come, or for the end of a connection: a wait for silence failed, and a check that nothing was written could pass. Such waits go on now for the rest of their time.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -411,27 +411,47 @@
         self.stream.get_ref().local_addr().unwrap()
     }
 
+    /// Wait until something has come: how much there is. Guards against signals, which cut such a wait short.
+    fn comes(&mut self) -> std::io::Result<usize> {
+        loop {
+            match self.stream.fill_buf() {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                came => return came.map(<[u8]>::len),
+            }
+        }
+    }
+
+    /// The same, for so long at most.
+    fn comes_within(&mut self, time: Duration) -> std::io::Result<usize> {
+        let end = Instant::now() + time;
+        let came = loop {
+            // No time at all would be no limit.
+            let left = end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            self.stream.get_ref().set_read_timeout(Some(left)).unwrap();
+            match self.stream.fill_buf() {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                came => break came.map(<[u8]>::len),
+            }
+        };
+        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
+        came
+    }
+
     /// Whether nothing comes for that time.
     pub fn hears_nothing(&mut self, time: Duration) -> bool {
-        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
-        let nothing = self.stream.fill_buf().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
-        nothing
+        self.comes_within(time).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
     /// Nothing comes for that time, or this says what does.
     pub fn stays_silent(&mut self, time: Duration) {
-        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
         let begun = Instant::now();
-        match self.stream.fill_buf() {
+        match self.comes_within(time) {
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            came => panic!(
-                "after {:?}: {:?}",
-                begun.elapsed(),
-                came.map(|b| String::from_utf8_lossy(b).into_owned())
-            ),
+            came => {
+                let text = String::from_utf8_lossy(self.stream.buffer());
+                panic!("after {:?}: {came:?} {text}", begun.elapsed());
+            }
         }
-        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
     }
 
     /// Send this over and over until something comes back.
@@ -448,7 +468,7 @@
     pub fn trickle_until_over(&mut self, text: &str) {
         let (begun, pause) = (Instant::now(), Some(Duration::from_millis(100)));
         self.stream.get_ref().set_read_timeout(pause).unwrap();
-        while self.stream.fill_buf().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
+        while self.comes().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
             assert!(begun.elapsed() < LONG, "it goes on waiting");
             let _ = self.stream.get_mut().write_all(text.as_bytes());
         }
@@ -456,7 +476,7 @@
 
     /// Whether the other side has ended it before it wrote anything.
     pub fn ended_early(&mut self) -> bool {
-        !self.stream.fill_buf().is_ok_and(|came| !came.is_empty())
+        !self.comes().is_ok_and(|came| came > 0)
     }
 
     /// Wait until something has come and close over it unread, which resets the connection.
@@ -489,7 +509,7 @@
 
     /// Whether something more comes before the connection ends.
     pub fn goes_on(&mut self) -> bool {
-        self.stream.fill_buf().is_ok_and(|b| !b.is_empty())
+        self.comes().is_ok_and(|came| came > 0)
     }
 
     /// The id of the request that comes.
