Begin a blackout under load once there is load and older disks are older

a_blackout_under_load_runs_nothing_twice cut the power 0.1 to 0.5 s after the load began, however little had run by then: on a busy machine "9 ran: the load was none". Where a disk is put back that is older only by what no other node had on its own disk, nobody can know, so its node served on and the test waited for its operator in vain. Power goes now once the load has run more jobs than the test asks for, and an older disk lacks what another node has written down before.

The pause stays as it was.

--- a/tests/node/recovery.rs
+++ b/tests/node/recovery.rs
@@ -162,6 +162,15 @@
     }
 }
 
+/// How many placements a node knows of, its own and others'.
+fn placements(node: &Node) -> u64 {
+    let mut operator = node.operator();
+    operator.send("GET /ops/sites HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    let told = operator.message().body;
+    let all = told.split_whitespace().find_map(|word| word.strip_prefix("all="));
+    all.unwrap_or_else(|| panic!("{told}")).parse().unwrap()
+}
+
 /// Ask for a guarded job under a key, by a request of its own.
 pub fn guarded(node: &Node, key: &str) -> Message {
     static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
@@ -515,9 +524,26 @@
     for k in 0..5 {
         std::fs::copy(fleet.state(k).join("kept.redb"), fleet.state(k).join("old")).unwrap();
     }
-    let mut asked = Asked::new();
+    // An older disk is known by what others have on theirs of what came later: without that it is the last one.
+    for (k, _) in kept.iter().enumerate().filter(|(_, kept)| **kept == Kept::Old) {
+        let other = &nodes[(k + 1) % 5];
+        let (before, begun) = (placements(other), Instant::now());
+        assert_eq!(guarded(&nodes[k], "newer").status(), 200);
+        while placements(other) == before {
+            assert!(begun.elapsed() < LONG, "nobody hears of it");
+        }
+        // With its own next one the other writes down what it has heard.
+        assert_eq!(guarded(other, "next").status(), 200);
+    }
+    let (mut asked, least) = (Asked::new(), server.runs.lock().unwrap().len() + 10);
     for round in 0..3 {
         let load = Load::begin(&nodes.iter().map(|n| n.address).collect::<Vec<_>>(), round);
+        // Guards against a load that is none where processes hardly get a processor. Once disks are lost nothing guarded runs.
+        let begun = Instant::now();
+        while round == 0 && server.runs.lock().unwrap().len() <= least {
+            assert!(begun.elapsed() < LONG, "the load runs nothing");
+            std::thread::sleep(Duration::from_millis(1));
+        }
         std::thread::sleep(Duration::from_millis(u64::from(100 + (137 * (seed + round)) % 400)));
         // Power goes for all before the first is back.
         nodes.iter().for_each(|n| n.signal(Signal::KILL));
@@ -558,6 +584,6 @@
         }
     }
     let ran = server.runs.lock().unwrap().len();
-    assert!(ran > 10, "{ran} ran: the load was none");
+    assert!(ran > least, "{ran} ran, not over {least}: the load was none");
     assert_eq!(server.twice(), [], "seed={seed}");
 }
