--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,11 @@
 //! The real program as a process, and the parties round it: clients, backend servers, discovery.
 
+/// One owner gives out addresses to all tests that start processes.
+#[path = "../../crates/rig/src/addresses.rs"]
+mod addresses;
+
+pub use rustix::process::Signal;
+use rustix::process::{kill_process, Pid};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -192,12 +198,12 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.signal(Signal::TERM);
     }
 
     /// Have it read its configuration again.
     pub fn hang_up(&self) {
-        self.signal("-HUP");
+        self.signal(Signal::HUP);
     }
 
     /// Whether it handles SIGHUP, as the system has it.
@@ -209,7 +215,7 @@
 
     /// Let the process stand still, or go on. It does stand still once this returns.
     pub fn stand_still(&self, still: bool) {
-        self.signal(if still { "-STOP" } else { "-CONT" });
+        self.signal(if still { Signal::STOP } else { Signal::CONT });
         let end = Instant::now() + LONG;
         while still && !self.stands_still() {
             assert!(Instant::now() < end, "it does not stop");
@@ -233,9 +239,9 @@
         assert!(Command::new("prlimit").args(lifts).status().unwrap().success());
     }
 
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    /// Sent from here, and there as this returns: a program that sends it may be late, and times are counted from now.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
     /// Replace its configuration.
@@ -348,7 +354,20 @@
 
 /// An address that refuses connections.
 pub fn closed() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    fresh()
+}
+
+/// An address for somebody who listens later, or again. Until then it refuses connections, and nobody else gets it.
+pub fn fresh() -> SocketAddr {
+    addresses::fresh().unwrap()
+}
+
+/// Wait until the system has a connection like that.
+pub fn system_has(text: &str) {
+    let begin = Instant::now();
+    while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(text) {
+        assert!(begin.elapsed() < LONG, "no connection {text}");
+    }
 }
 
 /// A connection, from either side.
@@ -400,27 +419,47 @@
         self.stream.get_ref().local_addr().unwrap()
     }
 
+    /// Wait until something has come: how much there is. Guards against signals, which cut such a wait short.
+    fn comes(&mut self) -> std::io::Result<usize> {
+        loop {
+            match self.stream.fill_buf() {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                came => return came.map(<[u8]>::len),
+            }
+        }
+    }
+
+    /// The same, for so long at most.
+    fn comes_within(&mut self, time: Duration) -> std::io::Result<usize> {
+        let end = Instant::now() + time;
+        let came = loop {
+            // No time at all would be no limit.
+            let left = end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            self.stream.get_ref().set_read_timeout(Some(left)).unwrap();
+            match self.stream.fill_buf() {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                came => break came.map(<[u8]>::len),
+            }
+        };
+        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
+        came
+    }
+
     /// Whether nothing comes for that time.
     pub fn hears_nothing(&mut self, time: Duration) -> bool {
-        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
-        let nothing = self.stream.fill_buf().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
-        nothing
+        self.comes_within(time).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
     /// Nothing comes for that time, or this says what does.
     pub fn stays_silent(&mut self, time: Duration) {
-        self.stream.get_ref().set_read_timeout(Some(time)).unwrap();
         let begun = Instant::now();
-        match self.stream.fill_buf() {
+        match self.comes_within(time) {
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            came => panic!(
-                "after {:?}: {:?}",
-                begun.elapsed(),
-                came.map(|b| String::from_utf8_lossy(b).into_owned())
-            ),
+            came => {
+                let text = String::from_utf8_lossy(self.stream.buffer());
+                panic!("after {:?}: {came:?} {text}", begun.elapsed());
+            }
         }
-        self.stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
     }
 
     /// Send this over and over until something comes back.
@@ -437,7 +476,7 @@
     pub fn trickle_until_over(&mut self, text: &str) {
         let (begun, pause) = (Instant::now(), Some(Duration::from_millis(100)));
         self.stream.get_ref().set_read_timeout(pause).unwrap();
-        while self.stream.fill_buf().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
+        while self.comes().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
             assert!(begun.elapsed() < LONG, "it goes on waiting");
             let _ = self.stream.get_mut().write_all(text.as_bytes());
         }
@@ -445,7 +484,7 @@
 
     /// Whether the other side has ended it before it wrote anything.
     pub fn ended_early(&mut self) -> bool {
-        !self.stream.fill_buf().is_ok_and(|came| !came.is_empty())
+        !self.comes().is_ok_and(|came| came > 0)
     }
 
     /// Wait until something has come and close over it unread, which resets the connection.
@@ -478,7 +517,7 @@
 
     /// Whether something more comes before the connection ends.
     pub fn goes_on(&mut self) -> bool {
-        self.stream.fill_buf().is_ok_and(|b| !b.is_empty())
+        self.comes().is_ok_and(|came| came > 0)
     }
 
     /// The id of the request that comes.
@@ -492,6 +531,22 @@
             || self.stream.get_ref().take_error().is_ok_and(|e| e.is_some())
     }
 
+    /// The same, or has reset it, as where it closed over what it had not read.
+    pub fn ended_or_reset(&mut self) -> bool {
+        match self.comes() {
+            Ok(came) => came == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
+    /// Wait until the other side, on this machine too, has read all that was sent.
+    pub fn is_read(&self) {
+        let stream = self.stream.get_ref();
+        let [own, other] = [stream.local_addr(), stream.peer_addr()].map(|a| a.unwrap().port());
+        // Nothing waits there to be sent or to be read.
+        system_has(&format!(":{other:04X} 0100007F:{own:04X} 01 00000000:00000000 "));
+    }
+
     /// Begin an answer in chunks.
     pub fn begin(&mut self) {
         self.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
