Write nothing where a server was before it moved

A list may name another address for a server while a connection to the old one comes up. `Backend::server` closed the idle connections then, but an attempt that connects, or that has just been handed to a connection, looked at `active` alone: it was written to whoever has the old address by now, under the name of the server that has left it.

What a connection watches is now where its server takes anything new, which is nowhere while it leaves: one value, set with the list and looked at while connecting, right before the first byte, and before the connection is kept. The attempt ends `Moot` and is made again at the new address.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -76,12 +76,36 @@
 #[derive(Debug)]
 struct Server {
     address: SocketAddr,
-    /// Whether it may be sent anything new.
-    active: watch::Sender<bool>,
+    /// Where it may be sent anything new, if it may.
+    takes_at: watch::Sender<Option<SocketAddr>>,
     /// Idle connections, the one used last at the back, by their number, with the time at which one last brought a job's answer.
     idle: VecDeque<(u64, Option<Instant>, mpsc::Sender<Call>)>,
 }
 
+/// A backend server as a connection to it was begun.
+#[derive(Debug)]
+struct Target {
+    worker: WorkerId,
+    address: SocketAddr,
+    takes_at: watch::Receiver<Option<SocketAddr>>,
+}
+
+impl Target {
+    /// Whether it may be sent anything new there. Guards drains, and whoever has that address once the server has moved.
+    fn takes(&self) -> bool {
+        *self.takes_at.borrow() == Some(self.address)
+    }
+
+    /// Ready once it may no longer.
+    async fn left(&mut self) {
+        let address = self.address;
+        if self.takes_at.wait_for(|at| *at != Some(address)).await.is_err() {
+            // A server is never taken out of the map, so it stays where it is.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// One attempt on its way to a connection.
 #[derive(Debug)]
 struct Dispatch {
@@ -239,14 +263,14 @@
             let mut servers = self.servers.borrow_mut();
             match (servers.get_mut(&worker), address) {
                 (Some(server), address) => {
-                    server.active.send_replace(active);
                     let before = server.address;
                     server.address = address.unwrap_or(before);
+                    server.takes_at.send_replace(active.then_some(server.address));
                     before != server.address
                 }
                 (None, Some(address)) => {
-                    let (active, _) = watch::channel(active);
-                    servers.insert(worker, Server { address, active, idle: VecDeque::new() });
+                    let (takes_at, _) = watch::channel(active.then_some(address));
+                    servers.insert(worker, Server { address, takes_at, idle: VecDeque::new() });
                     false
                 }
                 (None, None) => false,
@@ -291,7 +315,7 @@
 
     /// Put an attempt, or a probe, on the idle connection used last, or on a new one.
     fn begin(self: &Rc<Self>, worker: WorkerId, mut task: Task) {
-        let (address, active) = {
+        let target = {
             let mut servers = self.servers.borrow_mut();
             let Some(server) = servers.get_mut(&worker) else {
                 drop(servers);
@@ -312,7 +336,7 @@
                     Err(_) => return,
                 }
             }
-            (server.address, server.active.subscribe())
+            Target { worker, address: server.address, takes_at: server.takes_at.subscribe() }
         };
         // Guards against running out of descriptors. The place of one that is evicted is free a moment
         // later, so the bound is one over for that long.
@@ -323,7 +347,8 @@
         self.connections.set(self.connections.get() + 1);
         let backend = self.clone();
         tokio::task::spawn_local(async move {
-            let (ending, messages, left) = backend.connection(worker, address, active, task).await;
+            let address = target.address;
+            let (ending, messages, left) = backend.connection(target, task).await;
             backend.connections.set(backend.connections.get() - 1);
             ending.log(Side::Backend, address, messages);
             backend.ended.notify_one();
@@ -336,14 +361,9 @@
 
     /// Open a connection and use it until it ends: why, after how many attempts, and an attempt that
     /// was handed over too late to be written.
-    async fn connection(
-        self: &Rc<Self>,
-        worker: WorkerId,
-        address: SocketAddr,
-        mut active: watch::Receiver<bool>,
-        mut task: Task,
-    ) -> (Ending, u64, Option<Task>) {
-        let mut connection = match self.connect(address, &mut active, &mut task).await {
+    async fn connection(self: &Rc<Self>, mut target: Target, mut task: Task) -> (Ending, u64, Option<Task>) {
+        let worker = target.worker;
+        let mut connection = match self.connect(&mut target, &mut task).await {
             Ok(stream) => self.pool.framed::<Outgoing, _>(stream, ClientCodec::new(&self.pool, MAX_BODY)),
             Err((status, ending)) => {
                 self.ended(worker, &task, status);
@@ -360,9 +380,9 @@
                 let is_job = matches!(task, Task::Dispatch(_));
                 let (ending, answered) = match task {
                     Task::Dispatch(dispatch) => {
-                        self.attempt(&mut connection, &mut active, dispatch, answered_at).await
+                        self.attempt(&mut connection, &target, dispatch, answered_at).await
                     }
-                    Task::Probe(until) => self.probe(worker, address, &mut connection, &active, until).await,
+                    Task::Probe(until) => self.probe(&target, &mut connection, until).await,
                 };
                 if let Some(ending) = ending {
                     if answered {
@@ -385,9 +405,7 @@
             self.parked.set(number + 1);
             match self.servers.borrow_mut().get_mut(&worker) {
                 // Guards against a server that has left, or moved, while it answered.
-                Some(s) if s.address == address && *s.active.borrow() => {
-                    s.idle.push_back((number, answered_at, call));
-                }
+                Some(s) if target.takes() => s.idle.push_back((number, answered_at, call)),
                 _ => break (Ending::ServerLeft, None),
             }
             match self.parked(&mut connection, calls, used_at).await {
@@ -409,19 +427,15 @@
         (ending, messages, left)
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-        active: &mut watch::Receiver<bool>,
-        task: &mut Task,
-    ) -> Result<TcpStream, (Status, Ending)> {
+    async fn connect(&self, target: &mut Target, task: &mut Task) -> Result<TcpStream, (Status, Ending)> {
+        let address = target.address;
         let wait = Instant::now() + self.bounds.get().connect_timeout;
         let (by, excused) = task.connects_by();
         let late = if excused && by < wait { Status::Moot } else { Status::ConnectFailed };
         let stream = tokio::select! {
             biased;
             () = task.cancelled() => return Err((Status::Cancelled, Ending::Cancelled)),
-            () = left(active) => return Err((Status::Moot, Ending::ServerLeft)),
+            () = target.left() => return Err((Status::Moot, Ending::ServerLeft)),
             stream = TcpStream::connect(address) => stream,
             () = self.deadlines.at(wait.min(by)) => return Err((late, Ending::ConnectTimeout)),
         };
@@ -437,14 +451,13 @@
     /// The module hears of the answer once the connection can be used again.
     async fn probe(
         &self,
-        worker: WorkerId,
-        address: SocketAddr,
+        target: &Target,
         connection: &mut Connection,
-        active: &watch::Receiver<bool>,
         until: Instant,
     ) -> (Option<Ending>, bool) {
-        // Guards drains: a server that leaves is sent nothing at all.
-        if !*active.borrow() {
+        let (worker, address) = (target.worker, target.address);
+        // A server that leaves is sent nothing at all.
+        if !target.takes() {
             self.exchange.probed(worker, Status::Moot, |_| None);
             return (Some(Ending::ServerLeft), false);
         }
@@ -522,12 +535,12 @@
     async fn attempt(
         &self,
         connection: &mut Connection,
-        active: &mut watch::Receiver<bool>,
+        target: &Target,
         mut dispatch: Dispatch,
         answered_at: Option<Instant>,
     ) -> (Option<Ending>, bool) {
         let id = dispatch.id;
-        let ended = match self.write(connection, active, &mut dispatch).await {
+        let ended = match self.write(connection, target, &mut dispatch).await {
             Err(end) => end,
             Ok(()) => {
                 let answer = self.answer(connection, id, &dispatch.payload);
@@ -581,11 +594,11 @@
     async fn write(
         &self,
         connection: &mut Connection,
-        active: &mut watch::Receiver<bool>,
+        target: &Target,
         dispatch: &mut Dispatch,
     ) -> Result<(), End> {
-        // Guards drains: nothing is begun once the server is known to leave.
-        if !*active.borrow() {
+        // Nothing is begun once the server is known to leave, or to be elsewhere.
+        if !target.takes() {
             return Err(End::closing(Status::Moot, Ending::ServerLeft));
         }
         // Guards against sending what is over: where the process stood still the connection and the end of the request's
@@ -694,14 +707,6 @@
     words.filter_map(figure).filter(|(_, value): &(_, f64)| value.is_finite()).collect()
 }
 
-/// Ready once the server may no longer be sent anything new.
-async fn left(active: &mut watch::Receiver<bool>) {
-    if active.wait_for(|active| !active).await.is_err() {
-        // A server is never taken out of the map, so it goes on being active.
-        std::future::pending::<()>().await;
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/tests/node/written.rs
+++ b/tests/node/written.rs
@@ -1,9 +1,9 @@
 //! What may have changed between the order to dispatch and the first byte of it: nothing is written that is no longer wanted, that
 //! is too late to be a repeat, or that other settings than its own would allow.
 
-use crate::pair;
 use crate::sites::comes;
 use crate::support::*;
+use crate::{following, listing, pair, watch};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -191,6 +191,66 @@
     assert!(server.is_left_alone());
 }
 
+/// A server moves while the connection to where it was comes up: nothing is written there, whoever has that address now, and the job
+/// goes to the new one. Where the node stands still meanwhile it sees both in one turn.
+#[rstest]
+fn nothing_is_written_where_a_server_was(
+    #[values("/zone-plan", "/actuator-cmd")] target: &str,
+    #[values(false, true)] stands_still: bool,
+) {
+    let (mut door, new, discovery) = (Door::new(), Party::new(), Party::new());
+    door.shut();
+    let mut config = patient(door.address, false);
+    config["discovery"] = json!(discovery.address.to_string());
+    let node = Node::start(&config);
+    let (mut watch, _) = watch(&discovery);
+    let mut client = ask(&node, "a", target);
+    node.logs("dispatch 1.0 to");
+    door.waits_for_one();
+    let mut old = None;
+    if stands_still {
+        node.stand_still(true);
+        old = Some(door.accept());
+    }
+    watch.line(&listing(42, false, &[entry("s-0", new.address, "active")]));
+    node.stand_still(false);
+    assert!(node.logs("dispatch 1.0 ended").contains("Moot"));
+    let mut backend = new.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(old.is_none_or(|mut old| old.ended_early()), "a job was written where the server had been");
+}
+
+/// The same for an idle connection, to which a job is handed in the turn in which the server moves.
+#[rstest]
+fn nothing_is_written_on_an_idle_connection_to_where_a_server_was(#[values(false, true)] job_first: bool) {
+    let (server, new, discovery) = (Party::new(), Party::new(), Party::new());
+    let node = Node::start(&following(&[server.address], &discovery));
+    let (mut watch, _) = watch(&discovery);
+    let mut client = ask(&node, "first", "/zone-plan");
+    let mut old = server.accept();
+    assert_eq!(old.id(), "first");
+    old.serve("first", "1");
+    assert_eq!(client.message().body, "1");
+    node.stand_still(true);
+    let text = job("a", "/actuator-cmd", "5000m", "");
+    let moved = listing(42, false, &[entry("s-0", new.address, "active")]);
+    if job_first {
+        client.send(&text);
+        watch.line(&moved);
+    } else {
+        watch.line(&moved);
+        client.send(&text);
+    }
+    node.stand_still(false);
+    let mut backend = new.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "2");
+    assert_eq!(client.message().body, "2");
+    assert!(old.ended_early() && server.is_left_alone());
+}
+
 /// A keyed job may have run, and the connection for its further attempt comes up when servers no longer know its key: nothing is
 /// written, and it has its answer. The connection comes up a second after that attempt began, the time being over before; where the
 /// node stands still meanwhile it sees both at once. With a longer window the attempt is made.
