Give up an attempt that still connects once nobody waits for it

A client that leaves while the connection for its job comes up was noticed right before the first byte alone: the attempt and the connection kept their places until that was up or had taken too long, which a server whose connections come up late can draw out to `connect_timeout_ms`.

The order to dispatch carries a sight of the request, which ends with its entry among the open ones, be it answered or abandoned. `connect` waits for that, too, and the attempt ends `Moot` at once. The same sight is what is looked at right before the first byte, in place of a question to the exchange.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -74,6 +74,27 @@
     pub attempt: u32,
 }
 
+/// Whether a request still waits for its answer: its client has not gone, and it has none yet.
+#[derive(Clone, Debug)]
+pub struct Wanted(watch::Receiver<()>);
+
+impl Wanted {
+    /// As long as that lasts.
+    pub fn by(request: &watch::Sender<()>) -> Self {
+        Wanted(request.subscribe())
+    }
+
+    /// Whether it does.
+    pub fn is_still(&self) -> bool {
+        self.0.has_changed().is_ok()
+    }
+
+    /// Ready once it does not.
+    pub async fn over(&mut self) {
+        while self.0.changed().await.is_ok() {}
+    }
+}
+
 /// What the backend is to do.
 #[derive(Debug)]
 pub enum Order<P> {
@@ -91,6 +112,8 @@
         written_by: Instant,
         /// When to stop waiting.
         until: Instant,
+        /// For how long its request waits for an answer.
+        wanted: Wanted,
     },
     /// Call an attempt off.
     Cancel(DispatchId),
@@ -203,6 +226,8 @@
     until: Instant,
     attempts: u32,
     answer: oneshot::Sender<Verdict>,
+    /// Ends with this, which is what [`Wanted`] sees.
+    wanted: watch::Sender<()>,
 }
 
 #[derive(Debug)]
@@ -371,11 +396,6 @@
         self.ended(id, Status::Moot);
     }
 
-    /// Whether the request of an attempt still waits for its answer: its client has not gone, and it has none yet.
-    pub fn is_wanted(&self, id: DispatchId) -> bool {
-        self.inner.borrow().open.contains_key(&id.request)
-    }
-
     /// Whether an attempt may still be sent, see [`Recorder::may_send`].
     pub fn may_send(&self, id: DispatchId) -> bool {
         let recorder = self.inner.borrow().recorder.clone();
@@ -466,7 +486,8 @@
             inner.taken += 1;
             let id = RequestId(inner.taken);
             let class = ask.class;
-            inner.open.insert(id, Taken { class, payload: Rc::new(payload), until, attempts: 0, answer });
+            let (payload, wanted) = (Rc::new(payload), watch::channel(()).0);
+            inner.open.insert(id, Taken { class, payload, until, attempts: 0, answer, wanted });
             id
         };
         let time_left = until.saturating_duration_since(Instant::now()).as_micros() as Micros;
@@ -607,8 +628,16 @@
                 let effect = settings.map_or(Effect::Unsafe, |c| c.effect);
                 let is_unsafe = effect == Effect::Unsafe;
                 let sent = payload.clone();
-                let order =
-                    Order::Dispatch { id: dispatch, worker, effect, payload: sent, written_by, until };
+                let wanted = Wanted::by(&taken.wanted);
+                let order = Order::Dispatch {
+                    id: dispatch,
+                    worker,
+                    effect,
+                    payload: sent,
+                    written_by,
+                    until,
+                    wanted,
+                };
                 let (classes, workers) = (&self.names.classes, &self.names.workers);
                 let attempt = || Attempt {
                     class: classes.name(class.0 as u32).unwrap_or_default(),
