Test that an ending connection costs no answer, and that nobody's job is sent on

Nothing showed that a lingering end spares an answer from a reset. A client with a small window gets the first bytes of a long answer; the node ends the connection (last message, malformed, too slow, drained, stopping), bytes come, and then the client reads: it has its answer whole, and nothing of those bytes is sent on. One that is evicted does not linger: it keeps the answer of a client that reads on, with half a request on it or none. Where such a client sends more right after the eviction without having taken its answer in, what lay at the node is lost; clients that send one request at a time don't.

A client that leaves while its job is held, between two attempts, or while a server is asked for room is not sent on, nor is one that leaves in the turn in which that ends; these were right, and have their tests.

--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -4,10 +4,12 @@
 use crate::support::*;
 use crate::{pair, HEAD};
 use rstest::rstest;
-use rustix::net::connect_unspec;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::{connect, connect_unspec, socket_with, AddressFamily, SocketFlags, SocketType};
 use serde_json::json;
+use shorepath::net::ending::Ending;
 use std::io::Write;
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -233,6 +235,94 @@
     only_the_next_comes(&node, &server);
 }
 
+/// A client that takes in little of an answer until it reads it: the rest waits at the node.
+fn narrow(address: SocketAddr) -> Peer {
+    let none = SocketFlags::CLOEXEC;
+    let socket = socket_with(AddressFamily::INET, SocketType::STREAM, none, None).unwrap();
+    set_socket_recv_buffer_size(&socket, 4_096).unwrap();
+    connect(&socket, &address).unwrap();
+    Peer::new(TcpStream::from(socket))
+}
+
+/// Bytes come to a connection that the node has just ended, whose last answer the client has not taken in yet. They cost it nothing
+/// of that answer, and go nowhere.
+#[rstest]
+fn what_comes_right_after_the_end_costs_no_answer(
+    #[values(Ending::LastMessage, Ending::Malformed, Ending::TooSlow, Ending::Drained, Ending::Shutdown)]
+    ending: Ending,
+) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let node = Node::start(&config);
+    let mut client = narrow(node.address);
+    let (first, behind) = match ending {
+        Ending::LastMessage => (patient("a", "").replace("Host:", "Connection: close\r\nHost:"), ""),
+        Ending::Malformed => (patient("a", ""), "hello\r\n\r\n"),
+        Ending::TooSlow => (patient("a", ""), "POST /zone-plan HTT"),
+        _ => (patient("a", ""), ""),
+    };
+    client.send(&(first + behind));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    let result = "0123456789".repeat(6_000);
+    backend.serve("a", &result);
+    // Some of it has come, and the rest can't.
+    assert!(!client.hears_nothing(LONG));
+    let mut rests = node.client();
+    if ending == Ending::TooSlow {
+        rests.send(behind);
+    }
+    match ending {
+        Ending::Drained => assert_eq!(node.call("POST", "/ops/drain/start"), 200),
+        Ending::Shutdown => node.terminate(),
+        _ => {}
+    }
+    // The end of another connection shows that of this one.
+    match ending {
+        Ending::TooSlow => assert_eq!(rests.message().status(), 408),
+        Ending::Drained | Ending::Shutdown => assert!(rests.ended()),
+        _ => {}
+    }
+    for _ in 0..20 {
+        let _ = client.try_send(&patient("behind", ""));
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert!(client.message().body == result, "the answer is not whole");
+    match ending {
+        Ending::Malformed => assert_eq!(client.message().status(), 400),
+        Ending::TooSlow => assert_eq!(client.message().status(), 408),
+        _ => {}
+    }
+    assert!(client.ended());
+    assert!(backend.hears_nothing(Duration::from_millis(20)) && server.is_left_alone());
+}
+
+/// A connection that has to give way at a full node, with half a request on it or none, costs its client nothing of the answer before,
+/// of which most is not taken in yet.
+#[rstest]
+#[case::resting("")]
+#[case::half_a_request("POST /zone-plan HTT")]
+fn one_that_gives_way_has_its_answer_whole(#[case] behind: &str) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(70);
+    config["settings"]["projects"][0]["quota_rps"] = json!(1000.0);
+    let node = Node::start(&config);
+    let mut client = narrow(node.address);
+    client.send(&(patient("a", "") + behind));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    let result = "0123456789".repeat(6_000);
+    backend.serve("a", &result);
+    assert!(!client.hears_nothing(LONG));
+    // All others have jobs that wait, so this one has to go.
+    let _held: Vec<Peer> = (0..20).map(|k| node.ask(&format!("held-{k}"), "/zone-plan")).collect();
+    node.logs("reason=evicted messages=1");
+    assert!(client.message().body == result, "the answer is not whole");
+    assert!(client.ended());
+}
+
 /// A node with one backend server and a door.
 fn attended() -> (Node, Party) {
     let server = Party::new();
--- a/tests/node/written.rs
+++ b/tests/node/written.rs
@@ -3,7 +3,7 @@
 
 use crate::sites::comes;
 use crate::support::*;
-use crate::{following, listing, pair, watch};
+use crate::{following, listing, load, pair, probing, watch};
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -175,9 +175,11 @@
     assert!(node.logs("dispatch 1.0 ended").contains("Moot"));
 }
 
-/// A job waits for the one before it. That one is answered while the node stands still, and then the client of the next leaves.
+/// A job waits for the one before it, and its client leaves meanwhile, or in the turn in which that one is answered, after that.
 #[rstest]
-fn nothing_is_written_on_an_idle_connection_for_a_client_that_goes_in_the_same_turn() {
+fn nothing_is_written_on_an_idle_connection_for_a_client_that_has_gone(
+    #[values(false, true)] same_turn: bool,
+) {
     let server = Party::new();
     let node = Node::start(&patient(server.address, false));
     let mut first = ask(&node, "first", "/zone-plan");
@@ -188,9 +190,15 @@
     let mut health = node.client();
     health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
     assert_eq!(health.message().status(), 200);
-    node.stand_still(true);
-    backend.serve("first", "1");
-    leaves_surely(&node, gone);
+    node.stand_still(same_turn);
+    if same_turn {
+        backend.serve("first", "1");
+        leaves_surely(&node, gone);
+    } else {
+        drop(gone);
+        node.logs("reason=peer-broke");
+        backend.serve("first", "1");
+    }
     node.stand_still(false);
     assert_eq!(first.message().body, "1");
     // On the same connection: nothing was written there.
@@ -201,6 +209,72 @@
     assert!(server.is_left_alone());
 }
 
+/// Nothing of a client that has gone comes over that connection to the server, nor over another: the next job does.
+fn only_the_next_comes(node: &Node, server: &Party, backend: Peer) {
+    let mut next = ask(node, "next", "/zone-plan");
+    let mut backend = comes(server, Some(backend));
+    let mut request = backend.message();
+    if request.first == "GET /_load HTTP/1.1" {
+        backend.send(&load(1, 0));
+        request = backend.message();
+    }
+    assert_eq!(request.field("Request-Id"), Some("next"), "a job was written after its client had gone");
+    backend.serve("next", "1");
+    assert_eq!(next.message().body, "1");
+    assert!(server.is_left_alone());
+}
+
+/// A client leaves between two attempts of its job, which the server had turned away: it is not tried again.
+#[rstest]
+fn nothing_is_written_for_a_client_that_goes_between_attempts(
+    #[values("/zone-plan", "/actuator-cmd")] target: &str,
+    #[values(false, true)] same_turn: bool,
+) {
+    let server = Party::new();
+    let node = Node::start(&patient(server.address, false));
+    let client = ask(&node, "a", target);
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    node.stand_still(same_turn);
+    backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    if same_turn {
+        leaves_surely(&node, client);
+    } else {
+        node.logs("dispatch 1.0 ended Full");
+        drop(client);
+    }
+    node.stand_still(false);
+    node.logs("reason=peer-broke");
+    only_the_next_comes(&node, &server, backend);
+}
+
+/// A client leaves while the server is asked whether it has room for its job, or in the turn in which it says that it has.
+#[rstest]
+fn nothing_is_written_for_a_client_that_goes_beside_a_probe(
+    #[values("/zone-plan", "/actuator-cmd")] target: &str,
+    #[values(false, true)] same_turn: bool,
+) {
+    let server = Party::new();
+    let mut config = patient(server.address, false);
+    probing(&mut config);
+    let node = Node::start(&config);
+    let client = ask(&node, "a", target);
+    let mut backend = server.accept();
+    assert_eq!(backend.message().first, "GET /_load HTTP/1.1");
+    node.stand_still(same_turn);
+    if same_turn {
+        backend.send(&load(1, 0));
+        leaves_surely(&node, client);
+    } else {
+        drop(client);
+        node.logs("reason=peer-broke");
+        backend.send(&load(1, 0));
+    }
+    node.stand_still(false);
+    node.logs("probe of 0 ended");
+    only_the_next_comes(&node, &server, backend);
+}
+
 /// A server moves while the connection to where it was comes up: nothing is written there, whoever has that address now, and the job
 /// goes to the new one. Where the node stands still meanwhile it sees both in one turn.
 #[rstest]
