Send an answer before half a second after its client's time, whatever the disk does

Where answers are kept, one waits up to 2 s for the disk before it is sent (`answers::PATIENCE`), whatever is left of its client's time. An answer that comes half a second after that counts as lost; with deadlines of a second or two a disk that takes long makes that of every answer. The wait ends 0.3 s after the client's time now, or after 2 s if that is sooner.

--- a/src/net/answers.rs
+++ b/src/net/answers.rs
@@ -7,12 +7,14 @@
 use shorepath_store::{Answer, Op, Store};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 use tracing::warn;
 
 /// A client waits no longer than this for its answer to be on the disk: it then has it, and a repeat of the key is told that it was served.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Nor than this after the client's own time: an answer that comes half a second late is lost, and it still has to arrive.
+const LATE: Duration = Duration::from_millis(300);
 
 /// The answers that are kept.
 #[derive(Debug)]
@@ -28,12 +30,12 @@
 pub struct Keeping(oneshot::Receiver<()>);
 
 impl Keeping {
-    /// Ready once it is there, or for good is not, or after a time.
-    pub async fn done(self, deadlines: &Rc<Deadlines>) {
+    /// Ready once it is there, or for good is not, or after a time; the client's own is up then.
+    pub async fn done(self, deadlines: &Rc<Deadlines>, up: Instant) {
         tokio::select! {
             biased;
             _ = self.0 => {}
-            () = deadlines.after(PATIENCE) => warn!("an answer is sent before it is on the disk, which takes too long"),
+            () = deadlines.at((Instant::now() + PATIENCE).min(up + LATE)) => warn!("an answer is sent before it is on the disk, which takes too long"),
         }
     }
 }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -750,6 +750,11 @@
         !self.exchange.inner.borrow().open.contains_key(&self.id)
     }
 
+    /// When its client's time is up, less what an answer needs to arrive.
+    pub fn overdue(&self) -> Instant {
+        self.overdue
+    }
+
     /// Its final answer, in time.
     pub async fn verdict(&mut self) -> Verdict {
         tokio::select! {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -629,7 +629,7 @@
                             }
                             let barred = mark.and_then(|mark| mark.over(&verdict));
                             if let Some(keeping) = keeping {
-                                keeping.done(&self.deadlines).await;
+                                keeping.done(&self.deadlines, ticket.overdue()).await;
                             }
                             answer_to(verdict, barred, tells)
                         }
