Advise refused clients of sites no longer than the settings allow

Refusals by the module keep to `allowed.retry_after` and `max_retry_after_ms`; those for want of confirmation, of a lease or of a guest's part said 2 s, or up to 2 s, whatever the settings say (`BARRED` in `frontend.rs`). All go through `Exchange::advice` now.

Without the mend two of three cases failed each of 3 times: 2 s where 0.3 s is the most, and where nothing may be advised.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -436,6 +436,14 @@
         Duration::from_micros(self.inner.borrow().setup.longest_deadline().max(0) as u64)
     }
 
+    /// What a client that is turned away may be told of how long to stay away: nothing where clients don't heed it.
+    pub fn advice(&self, wait: Duration) -> Option<Duration> {
+        let inner = self.inner.borrow();
+        let set = inner.balancer.settings();
+        let most = Duration::from_micros(set.max_retry_after.max(0) as u64);
+        set.retry_after.then_some(wait.min(most))
+    }
+
     /// How backend servers warm up.
     pub fn pace(&self) -> Pace {
         let inner = self.inner.borrow();
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -631,7 +631,7 @@
                             if let Some(keeping) = keeping {
                                 keeping.done(&self.deadlines, ticket.overdue()).await;
                             }
-                            answer_to(verdict, barred, tells)
+                            answer_to(verdict, barred, tells, |wait| self.exchange.advice(wait))
                         }
                         None => return Ending::PeerBroke,
                     }
@@ -938,16 +938,26 @@
     answer
 }
 
-/// The words of HTTP for a final answer; `tells` is one more field of it, with a time.
-fn answer_to(verdict: Verdict, barred: Option<Barred>, tells: Option<(&str, Duration)>) -> Answer {
-    let mut answer = answer_in_words(verdict, barred);
+/// The words of HTTP for a final answer; `tells` is one more field of it, with a time. Whoever says how long to stay away, it is what
+/// the settings allow to advise.
+fn answer_to(
+    verdict: Verdict,
+    barred: Option<Barred>,
+    tells: Option<(&str, Duration)>,
+    advice: impl Fn(Duration) -> Option<Duration>,
+) -> Answer {
+    let mut answer = answer_in_words(verdict, barred, advice(BARRED));
+    let tells = tells.and_then(|(name, time)| match name {
+        "Retry-After" => Some((name, advice(time)?)),
+        _ => Some((name, time)),
+    });
     if let (Answer::Full { fields, .. }, Some((name, time))) = (&mut answer, tells) {
         *fields += &format!("{name}: {:.3}\r\n", time.as_secs_f64());
     }
     answer
 }
 
-fn answer_in_words(verdict: Verdict, barred: Option<Barred>) -> Answer {
+fn answer_in_words(verdict: Verdict, barred: Option<Barred>, again: Option<Duration>) -> Answer {
     match verdict {
         Verdict::Served(body) => {
             Answer::Full { status: 200, fields: String::new(), body, close: false, head_only: false }
@@ -965,8 +975,8 @@
             let mut answer = Answer::text(barred.status, &barred.why, false);
             if let Answer::Full { fields, .. } = &mut answer {
                 *fields = format!("Refused-Because: {}\r\n", barred.why);
-                if barred.retry {
-                    *fields += &format!("Retry-After: {}\r\n", BARRED.as_secs());
+                if let Some(again) = again.filter(|_| barred.retry) {
+                    *fields += &format!("Retry-After: {:.3}\r\n", again.as_secs_f64());
                 }
             }
             answer
--- a/tests/node/sites.rs
+++ b/tests/node/sites.rs
@@ -318,6 +318,29 @@
     nodes[0].logs("n1 goes by version 2 of the file, this node by 1");
 }
 
+/// Whoever is refused for want of confirmation is told to stay away for as long as the settings allow to advise, if at all.
+#[rstest]
+#[case::usual(true, 2_000.0, Some(2.0))]
+#[case::short(true, 300.0, Some(0.3))]
+#[case::never(false, 2_000.0, None)]
+fn who_is_refused_is_advised_as_the_settings_allow(
+    #[case] allowed: bool,
+    #[case] most: f64,
+    #[case] advice: Option<f64>,
+) {
+    let files = Files::new(&format!("advice-{allowed}-{most}"));
+    files.sites(0, 2, "(credit acme (jobs 8) (reserve 2) (shrink 1 h))");
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["settings"]["allowed"]["retry_after"] = allowed.into();
+    config["settings"]["allowed"]["max_retry_after_ms"] = most.into();
+    let node = files.start_with(0, config, &[]);
+    let answer = node.ask("a", "/zone-plan").message();
+    assert_eq!(refusal(&answer), (503, Some("standing not confirmed")));
+    assert_eq!(answer.field("Retry-After").map(|t| t.parse().unwrap()), advice);
+    assert!(server.is_left_alone());
+}
+
 /// A site that is alone begins so much on unconfirmed standing and no more, also after a restart; linked again, all is as before.
 #[rstest]
 fn a_site_alone_keeps_to_its_credit_also_over_a_restart() {
