Let a reload bring the close forward, and not only what is answered after it

A reload while the node stops shortened the time of what comes (`hasten`), but the wait for the close had been begun by the old settings (`Frontend::closes` asked once in `mod.rs`), and so had that of half a request: connections stayed open up to 2 s after SIGTERM where the node may be killed after 1.1 s.

The times of stopping are part of the frontend's state now, whose watchers hear of a change: both waits look at them again. Half a request has a wait of its own for that, in place of a deadline that was set once, so `Due::is_by` goes.

--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -61,13 +61,6 @@
     all: Rc<Deadlines>,
 }
 
-impl Due {
-    /// Whether it comes by then.
-    pub fn is_by(&self, when: Instant) -> bool {
-        self.key.0 <= when
-    }
-}
-
 impl Future for Due {
     type Output = ();
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -82,6 +82,8 @@
     accepts: bool,
     /// Whether another process takes the clients at this address.
     replaced: bool,
+    /// The times that hold once the node is stopping.
+    stopping: Option<Stopping>,
 }
 
 impl State {
@@ -118,8 +120,6 @@
     /// How many of them were told to go and have neither ended nor gone on yet.
     going: Cell<usize>,
     ids: Rc<RefCell<Ids>>,
-    /// The times that hold once the node is stopping.
-    stopping: Cell<Option<Stopping>>,
     state: watch::Sender<State>,
     /// This node among sites, where there are any.
     sites: RefCell<Option<Rc<Sites>>>,
@@ -258,7 +258,8 @@
         pool: Rc<Pool>,
         most: usize,
     ) -> Rc<Self> {
-        let state = State { stage: Stage::Serving, drained: None, accepts: false, replaced: false };
+        let stage = Stage::Serving;
+        let state = State { stage, drained: None, accepts: false, replaced: false, stopping: None };
         Rc::new(Frontend {
             exchange,
             deadlines,
@@ -270,7 +271,6 @@
             idled: Cell::new(0),
             going: Cell::new(0),
             ids: Rc::default(),
-            stopping: Cell::new(None),
             state: watch::channel(state).0,
             sites: RefCell::default(),
         })
@@ -355,19 +355,38 @@
     /// The node is going to stop by these times: it is no longer healthy, but serves as before. What comes late
     /// has its answer in time; from now on, or what comes right before connections are refused would be missed.
     pub fn leave(&self, stopping: Stopping) {
-        self.stopping.set(Some(stopping));
-        self.enter(Stage::Leaving);
+        self.state.send_modify(|s| (s.stage, s.stopping) = (Stage::Leaving, Some(stopping)));
     }
 
     /// Other settings hold while the node stops. Guards against a reload that was asked for before the stop and is
     /// found after it: the system hands two signals to any thread, in any order.
     pub fn hasten(&self, longest: Duration) {
-        self.stopping.set(self.stopping.get().map(|s| s.hastened(longest)));
+        self.state.send_modify(|s| s.stopping = s.stopping.map(|s| s.hastened(longest)));
+    }
+
+    /// Ready when connections close, as the node is stopping.
+    pub async fn closes(&self) {
+        self.reaches(|s| s.stopping.map(|s| s.closes())).await;
     }
 
-    /// When connections close, once the node is stopping.
-    pub fn closes(&self) -> Option<Instant> {
-        self.stopping.get().map(|s| s.closes())
+    /// Ready once that time has come, as the state says by then.
+    async fn reaches(&self, time: impl Fn(State) -> Option<Instant>) {
+        let mut state = self.state.subscribe();
+        loop {
+            let at = time(*state.borrow_and_update());
+            let reached = async {
+                match at {
+                    Some(at) => self.deadlines.at(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                // It does not end before the frontend.
+                _ = state.changed() => {}
+                () = reached => return,
+            }
+        }
     }
 
     /// Accept no new connection but those that wait already.
@@ -683,6 +702,9 @@
         let rank = if has_served { Rank::Served } else { Rank::Silent };
         let (mut place, mut closed) = self.stand_idle(rank);
         let mut unwanted = std::pin::pin!(self.unwanted(true));
+        // Guards the end of the node against requests that are never completed.
+        let closing = |s: State| s.stopping.filter(|_| s.stage == Stage::Closing);
+        let mut pressed = std::pin::pin!(self.reaches(|s| closing(s).map(|s| s.whole_by())));
         // Guards against connections that say nothing, or send a request without end.
         let due = opened.map_or_else(|| self.deadlines.after(IDLE), |o| self.deadlines.at(o + REQUEST));
         let mut due = std::pin::pin!(due);
@@ -697,6 +719,7 @@
                 _ = &mut closed => Some(Ending::Evicted),
                 over = &mut unwanted, if ending != Some(Ending::Shutdown) => Some(over),
                 () = &mut due => Some(Ending::Idle),
+                () = &mut pressed, if ending == Some(Ending::Shutdown) => Some(Ending::Idle),
             };
             if over.is_some() {
                 // Guards what has come by now: the clock may have been looked at before the sockets were, as
@@ -741,13 +764,7 @@
                     // The node may be told to stop, too, and then it has less.
                     unwanted.set(self.unwanted(false));
                 }
-                (true, Some(over)) => {
-                    let by = self.stopping.get().map(|s| s.whole_by());
-                    if let Some(by) = by.filter(|by| !due.is_by(*by)) {
-                        due.set(self.deadlines.at(by));
-                    }
-                    (ending, has_begun) = (Some(over), true);
-                }
+                (true, Some(over)) => (ending, has_begun) = (Some(over), true),
             }
         };
         self.rise(place);
@@ -855,7 +872,7 @@
         let id = field("request-id")?.ok_or_else(|| malformed("no Request-Id"))?.to_string();
         let patience = field("request-timeout")?.ok_or_else(|| malformed("no Request-Timeout"))?;
         let patience = timeout(patience).ok_or_else(|| malformed("Request-Timeout is no time"))?;
-        let most = self.stopping.get().and_then(|s| s.patience(request.arrived));
+        let most = self.state.borrow().stopping.and_then(|s| s.patience(request.arrived));
         let patience = most.map_or(patience, |most| patience.min(most));
         let tenant = field("tenant")?.map(str::to_string);
         let number = tenant.as_deref().and_then(|t| self.exchange.tenant(t));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -384,9 +384,7 @@
             info!("new connections are refused");
         };
         let closes = async {
-            if let Some(at) = frontend.closes() {
-                deadlines.at(at).await;
-            }
+            frontend.closes().await;
             frontend.close();
         };
         // Those that wait at a full node are no reason to close any later.
--- a/src/net/stopping.rs
+++ b/src/net/stopping.rs
@@ -44,8 +44,7 @@
         (self.last_answer() - self.longest / 2).max(self.refuses())
     }
 
-    /// By then a request that has begun has to be whole once connections close: what is left bears its answer. Guards the
-    /// end of the node against requests that are never completed, and those that are against a kill that comes first.
+    /// By then a request that has begun has to be whole once connections close: in what is left it is answered.
     pub fn whole_by(&self) -> Instant {
         self.last_answer() - self.longest / 6
     }
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -328,6 +328,41 @@
     assert_eq!(clients[0].message().body, "1");
 }
 
+/// A reload that comes late in the stop brings the times that are still to come forward: when connections close, and by when a
+/// request that has begun then has to be whole.
+#[rstest]
+#[case::before_the_close([6_000, 6_000], [400, 300], false)]
+#[case::after_the_close([3_000, 3_000], [2_000, 2_000], true)]
+fn a_reload_late_in_the_stop_brings_its_end_forward(
+    #[case] old: [u64; 2],
+    #[case] new: [u64; 2],
+    #[case] closed: bool,
+) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    deadlines(&mut config, old);
+    let mut node = Node::start(&config);
+    let mut rests = known_clients(&node, 1).remove(0);
+    let mut client = known_clients(&node, 1).remove(0);
+    deadlines(&mut config, new);
+    node.replace(&config.to_string());
+    let told = Instant::now();
+    node.terminate();
+    node.logs("new connections are refused");
+    client.send("POST /zone-plan HTT");
+    if closed {
+        assert!(rests.ended());
+    }
+    node.hang_up();
+    node.logs("new settings hold");
+    assert!(closed || rests.ended());
+    assert_eq!(client.message().status(), 408);
+    let (took, kill) = (told.elapsed(), ms(700 + new[0]));
+    assert!(took < kill, "{took:?}, and the kill may come after {kill:?}");
+    drop((client, rests));
+    assert!(node.exit().success());
+}
+
 /// A node that is still starting: it waits for its configuration.
 fn starting(config: &Value) -> (Node, std::path::PathBuf) {
     let command = command(&[PROGRAM, "serve", "-v"], &config.to_string());
