--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -178,7 +178,8 @@
 }
 
 impl Claim {
-    pub(super) fn on(id: String, all: &Rc<RefCell<Ids>>) -> Option<Claim> {
+    /// The claim on that id, unless another job has it.
+    pub fn on(id: String, all: &Rc<RefCell<Ids>>) -> Option<Claim> {
         let mut ids = all.borrow_mut();
         let free = !ids.others.contains(&id) && ids.own.insert(id.clone());
         free.then(|| {
