--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -35,8 +35,6 @@
 /// Under pressure, how long a request that has begun may stand still; slow ones come in pieces about
 /// 0.1 s apart.
 const STILL: Duration = Duration::from_millis(500);
-/// How long a request may still take to come once the node is closing its connections.
-const PRESSED: Duration = Duration::from_millis(1_000);
 /// How long a client may take to read its answer.
 const WRITE: Duration = Duration::from_secs(10);
 /// How long what a client still sends is read after the last answer, so that it sees that answer.
@@ -84,6 +82,8 @@
     accepts: bool,
     /// Whether another process takes the clients at this address.
     replaced: bool,
+    /// The times that hold once the node is stopping.
+    stopping: Option<Stopping>,
 }
 
 impl State {
@@ -120,8 +120,6 @@
     /// How many of them were told to go and have neither ended nor gone on yet.
     going: Cell<usize>,
     ids: Rc<RefCell<Ids>>,
-    /// The times that hold once the node is stopping.
-    stopping: Cell<Option<Stopping>>,
     state: watch::Sender<State>,
     /// This node among sites, where there are any.
     sites: RefCell<Option<Rc<Sites>>>,
@@ -180,7 +178,8 @@
 }
 
 impl Claim {
-    pub(super) fn on(id: String, all: &Rc<RefCell<Ids>>) -> Option<Claim> {
+    /// The claim on that id, unless another job has it.
+    pub fn on(id: String, all: &Rc<RefCell<Ids>>) -> Option<Claim> {
         let mut ids = all.borrow_mut();
         let free = !ids.others.contains(&id) && ids.own.insert(id.clone());
         free.then(|| {
@@ -260,7 +259,8 @@
         pool: Rc<Pool>,
         most: usize,
     ) -> Rc<Self> {
-        let state = State { stage: Stage::Serving, drained: None, accepts: false, replaced: false };
+        let stage = Stage::Serving;
+        let state = State { stage, drained: None, accepts: false, replaced: false, stopping: None };
         Rc::new(Frontend {
             exchange,
             deadlines,
@@ -272,7 +272,6 @@
             idled: Cell::new(0),
             going: Cell::new(0),
             ids: Rc::default(),
-            stopping: Cell::new(None),
             state: watch::channel(state).0,
             sites: RefCell::default(),
         })
@@ -357,19 +356,38 @@
     /// The node is going to stop by these times: it is no longer healthy, but serves as before. What comes late
     /// has its answer in time; from now on, or what comes right before connections are refused would be missed.
     pub fn leave(&self, stopping: Stopping) {
-        self.stopping.set(Some(stopping));
-        self.enter(Stage::Leaving);
+        self.state.send_modify(|s| (s.stage, s.stopping) = (Stage::Leaving, Some(stopping)));
     }
 
     /// Other settings hold while the node stops. Guards against a reload that was asked for before the stop and is
     /// found after it: the system hands two signals to any thread, in any order.
     pub fn hasten(&self, longest: Duration) {
-        self.stopping.set(self.stopping.get().map(|s| s.hastened(longest)));
+        self.state.send_modify(|s| s.stopping = s.stopping.map(|s| s.hastened(longest)));
+    }
+
+    /// Ready when connections close, as the node is stopping.
+    pub async fn closes(&self) {
+        self.reaches(|s| s.stopping.map(|s| s.closes())).await;
     }
 
-    /// When connections close, once the node is stopping.
-    pub fn closes(&self) -> Option<Instant> {
-        self.stopping.get().map(|s| s.closes())
+    /// Ready once that time has come, as the state says by then.
+    async fn reaches(&self, time: impl Fn(State) -> Option<Instant>) {
+        let mut state = self.state.subscribe();
+        loop {
+            let at = time(*state.borrow_and_update());
+            let reached = async {
+                match at {
+                    Some(at) => self.deadlines.at(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                // It does not end before the frontend.
+                _ = state.changed() => {}
+                () = reached => return,
+            }
+        }
     }
 
     /// Accept no new connection but those that wait already.
@@ -631,9 +649,9 @@
                             }
                             let barred = mark.and_then(|mark| mark.over(&verdict));
                             if let Some(keeping) = keeping {
-                                keeping.done(&self.deadlines).await;
+                                keeping.done(&self.deadlines, ticket.overdue()).await;
                             }
-                            answer_to(verdict, barred, tells)
+                            answer_to(verdict, barred, tells, |wait| self.exchange.advice(wait))
                         }
                         None => return Ending::PeerBroke,
                     }
@@ -684,7 +702,10 @@
     ) -> Result<Option<Result<Incoming, ReadError>>, Ending> {
         let rank = if has_served { Rank::Served } else { Rank::Silent };
         let (mut place, mut closed) = self.stand_idle(rank);
-        let mut unwanted = std::pin::pin!(self.unwanted());
+        let mut unwanted = std::pin::pin!(self.unwanted(true));
+        // Guards the end of the node against requests that are never completed.
+        let closing = |s: State| s.stopping.filter(|_| s.stage == Stage::Closing);
+        let mut pressed = std::pin::pin!(self.reaches(|s| closing(s).map(|s| s.whole_by())));
         // Guards against connections that say nothing, or send a request without end.
         let due = opened.map_or_else(|| self.deadlines.after(IDLE), |o| self.deadlines.at(o + REQUEST));
         let mut due = std::pin::pin!(due);
@@ -697,8 +718,9 @@
                 item = self.pool.next(connection) => break Ok(item),
                 () = begun.notified() => None,
                 _ = &mut closed => Some(Ending::Evicted),
-                over = &mut unwanted, if ending.is_none() => Some(over),
+                over = &mut unwanted, if ending != Some(Ending::Shutdown) => Some(over),
                 () = &mut due => Some(Ending::Idle),
+                () = &mut pressed, if ending == Some(Ending::Shutdown) => Some(Ending::Idle),
             };
             if over.is_some() {
                 // Guards what has come by now: the clock may have been looked at before the sockets were, as
@@ -740,29 +762,26 @@
                         due.set(self.deadlines.after(REQUEST));
                     }
                     ending = Some(Ending::Drained);
+                    // The node may be told to stop, too, and then it has less.
+                    unwanted.set(self.unwanted(false));
                 }
-                (true, Some(over)) => {
-                    // Guards the end of the node against requests that are never completed.
-                    if !due.is_within(PRESSED) {
-                        due.set(self.deadlines.after(PRESSED));
-                    }
-                    (ending, has_begun) = (Some(over), true);
-                }
+                (true, Some(over)) => (ending, has_begun) = (Some(over), true),
             }
         };
         self.rise(place);
         item
     }
 
-    /// Why a connection should no longer stand idle, once that is so.
-    async fn unwanted(&self) -> Ending {
+    /// Why a connection should no longer stand idle, once that is so; that the node is being emptied may be known.
+    async fn unwanted(&self, drains: bool) -> Ending {
         let (begun, mut state) = (Instant::now(), self.state.subscribe());
         loop {
             let now = *state.borrow_and_update();
             if now.stage == Stage::Closing {
                 return Ending::Shutdown;
             }
-            let due = now.drained.map(|since| (since + DRAIN_IDLE).max(begun + DRAIN_FIRST));
+            let drained = now.drained.filter(|_| drains);
+            let due = drained.map(|since| (since + DRAIN_IDLE).max(begun + DRAIN_FIRST));
             let drained = async {
                 match due {
                     Some(due) => self.deadlines.at(due).await,
@@ -854,7 +873,7 @@
         let id = field("request-id")?.ok_or_else(|| malformed("no Request-Id"))?.to_string();
         let patience = field("request-timeout")?.ok_or_else(|| malformed("no Request-Timeout"))?;
         let patience = timeout(patience).ok_or_else(|| malformed("Request-Timeout is no time"))?;
-        let most = self.stopping.get().and_then(|s| s.patience(request.arrived));
+        let most = self.state.borrow().stopping.and_then(|s| s.patience(request.arrived));
         let patience = most.map_or(patience, |most| patience.min(most));
         let tenant = field("tenant")?.map(str::to_string);
         let number = tenant.as_deref().and_then(|t| self.exchange.tenant(t));
@@ -937,16 +956,26 @@
     answer
 }
 
-/// The words of HTTP for a final answer; `tells` is one more field of it, with a time.
-fn answer_to(verdict: Verdict, barred: Option<Barred>, tells: Option<(&str, Duration)>) -> Answer {
-    let mut answer = answer_in_words(verdict, barred);
+/// The words of HTTP for a final answer; `tells` is one more field of it, with a time. Whoever says how long to stay away, it is what
+/// the settings allow to advise.
+fn answer_to(
+    verdict: Verdict,
+    barred: Option<Barred>,
+    tells: Option<(&str, Duration)>,
+    advice: impl Fn(Duration) -> Option<Duration>,
+) -> Answer {
+    let mut answer = answer_in_words(verdict, barred, advice(BARRED));
+    let tells = tells.and_then(|(name, time)| match name {
+        "Retry-After" => Some((name, advice(time)?)),
+        _ => Some((name, time)),
+    });
     if let (Answer::Full { fields, .. }, Some((name, time))) = (&mut answer, tells) {
         *fields += &format!("{name}: {:.3}\r\n", time.as_secs_f64());
     }
     answer
 }
 
-fn answer_in_words(verdict: Verdict, barred: Option<Barred>) -> Answer {
+fn answer_in_words(verdict: Verdict, barred: Option<Barred>, again: Option<Duration>) -> Answer {
     match verdict {
         Verdict::Served(body) => {
             Answer::Full { status: 200, fields: String::new(), body, close: false, head_only: false }
@@ -964,8 +993,8 @@
             let mut answer = Answer::text(barred.status, &barred.why, false);
             if let Answer::Full { fields, .. } = &mut answer {
                 *fields = format!("Refused-Because: {}\r\n", barred.why);
-                if barred.retry {
-                    *fields += &format!("Retry-After: {}\r\n", BARRED.as_secs());
+                if let Some(again) = again.filter(|_| barred.retry) {
+                    *fields += &format!("Retry-After: {:.3}\r\n", again.as_secs_f64());
                 }
             }
             answer
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -124,6 +124,55 @@
     assert!(late.is_empty(), "the kill may come after {kill:?}: {late:?}");
 }
 
+/// A request that has begun when connections close is answered before the kill, also where it never comes whole: on a connection that
+/// has been used, on a new one, and on one of a node that was being emptied before. One whose last byte comes in between is, too.
+#[rstest]
+fn half_a_request_at_the_close_is_answered_before_the_kill(
+    #[values([300, 400], [1_000, 600], [1_500, 1_500], [6_000, 4_000])] all: [u64; 2],
+    #[values("known", "new", "drained")] connection: &str,
+    #[values(false, true)] completed: bool,
+) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    deadlines(&mut config, all);
+    let mut node = Node::start(&config);
+    serving_behind(server, &Arc::default());
+    let mut client = if connection == "new" { node.client() } else { known_clients(&node, 1).remove(0) };
+    let text = job("a", "/zone-plan", "5000m", "0123456789");
+    let (begin, end) = text.split_at(text.len() - 1);
+    if connection == "drained" {
+        client.send(begin);
+        // It is known to have begun: it does not end with the others.
+        let mut rests = known_clients(&node, 1).remove(0);
+        assert_eq!(node.call("POST", "/ops/drain/start"), 200);
+        assert!(rests.ended());
+    }
+    let told = Instant::now();
+    node.terminate();
+    node.logs("told to stop");
+    if connection != "drained" {
+        client.send(begin);
+    }
+    let longest = ms(*all.iter().max().unwrap().min(&3_000));
+    let kill = ms(700) + longest;
+    let mut in_time = completed;
+    if completed {
+        // What has begun has its usual time still.
+        let usual = ms(if connection == "drained" { 1_000 } else { 1_800 });
+        let at = told + (kill - longest * 3 / 5).min(usual);
+        until(at);
+        client.send(end);
+        in_time = at.elapsed() < ms(20);
+    }
+    let status = client.message().status();
+    assert!(told.elapsed() < kill, "{status} after {:?}, the kill may come after {kill:?}", told.elapsed());
+    assert!(if in_time { [200, 503].contains(&status) } else { completed || status == 408 }, "{status}");
+    assert!(client.ended());
+    drop(client);
+    assert!(node.exit().success());
+}
+
 /// What comes in the moment between the pages' 0.7 s, less their slack, and the time at which new connections are refused is
 /// bound to the last answer, too. The time that a server is told shows it.
 #[rstest]
@@ -282,6 +331,41 @@
     assert_eq!(clients[0].message().body, "1");
 }
 
+/// A reload that comes late in the stop brings the times that are still to come forward: when connections close, and by when a
+/// request that has begun then has to be whole.
+#[rstest]
+#[case::before_the_close([6_000, 6_000], [400, 300], false)]
+#[case::after_the_close([3_000, 3_000], [2_000, 2_000], true)]
+fn a_reload_late_in_the_stop_brings_its_end_forward(
+    #[case] old: [u64; 2],
+    #[case] new: [u64; 2],
+    #[case] closed: bool,
+) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    deadlines(&mut config, old);
+    let mut node = Node::start(&config);
+    let mut rests = known_clients(&node, 1).remove(0);
+    let mut client = known_clients(&node, 1).remove(0);
+    deadlines(&mut config, new);
+    node.replace(&config.to_string());
+    let told = Instant::now();
+    node.terminate();
+    node.logs("new connections are refused");
+    client.send("POST /zone-plan HTT");
+    if closed {
+        assert!(rests.ended());
+    }
+    node.hang_up();
+    node.logs("new settings hold");
+    assert!(closed || rests.ended());
+    assert_eq!(client.message().status(), 408);
+    let (took, kill) = (told.elapsed(), ms(700 + new[0]));
+    assert!(took < kill, "{took:?}, and the kill may come after {kill:?}");
+    drop((client, rests));
+    assert!(node.exit().success());
+}
+
 /// A node that is still starting: it waits for its configuration.
 fn starting(config: &Value) -> (Node, std::path::PathBuf) {
     let command = command(&[PROGRAM, "serve", "-v"], &config.to_string());
