Test descriptors, a handover that breaks off and cut input in their odd orders

Read in the code and held to be right; nothing forced these orders before. Idle clients fill all descriptors that the system gives while discovery is down, with jobs out: it is called all the same, its list comes in at its return, and operators are answered. The process before is killed once it has handed its socket over, or the next one before it serves. NULs, folded fields, lengths and chunks that make no sense, cut in several places, end their own connection alone; chunks with extensions and a trailer are read wherever they are cut. Each holds without any change of the program.

--- /dev/null
+++ b/tests/node/orders.rs
@@ -0,0 +1,175 @@
+//! Two things in one moment, in the order in which they harm: each test forces that order, with nothing left to chance.
+
+use crate::operators::published;
+use crate::support::*;
+use crate::{following, listing, pair, watch, HEAD};
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Idle clients fill what descriptors the system gives while discovery is down and jobs are out: it is called all the same, its list
+/// comes in as it returns, operators are answered, and new jobs go out.
+#[rstest]
+fn descriptors_filled_while_discovery_is_down_keep_nobody_out(#[values("pushed", "on_request")] lists: &str) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &discovery);
+    config["settings"]["discovery"] = json!(lists);
+    config["settings"]["allowed"]["cancel"] = json!(false);
+    config["mgmt"] = json!("127.0.0.1:0");
+    config["limits"]["sockets"] = json!(70);
+    let node = Node::start_as(&["prlimit", "--nofile=70:70", PROGRAM, "serve", "-v"], &config);
+    let mut idle: Vec<Peer> = (0..60).map(|_| node.client()).collect();
+    let mut held: Vec<(Peer, Peer)> = (0..4)
+        .map(|k| {
+            let mut client = node.client();
+            client.send(&job(&format!("held-{k}"), "/zone-plan", "60000m", ""));
+            (client, server.accept())
+        })
+        .collect();
+    idle.extend((0..60).map(|_| node.client()));
+    (0..3).for_each(|_| discovery.accept().reset());
+    assert_eq!(node.call("GET", "/ops/readiness"), 200);
+    let back = Instant::now();
+    let other = Party::new();
+    let (mut watch, _) = watch(&discovery);
+    let members = [entry("s-0", server.address, "leaving"), entry("s-new", other.address, "active")];
+    watch.line(&listing(42, true, &members));
+    let lines = node.logs_until("server table 42");
+    assert!(lines.iter().all(|l| !l.contains("no-sockets") && !l.contains("accepting")), "{lines:?}");
+    assert!(back.elapsed() < Duration::from_secs(4), "{:?}", back.elapsed());
+    let mut client = node.ask("new", "/zone-plan");
+    let mut backend = other.accept();
+    assert_eq!(backend.id(), "new");
+    backend.serve("new", "1");
+    assert_eq!(client.message().body, "1");
+    for (k, (client, backend)) in held.iter_mut().enumerate() {
+        let id = backend.id();
+        backend.serve(&id, &id);
+        assert_eq!(client.message().body, format!("held-{k}"));
+    }
+    assert!(node.descriptors() <= 70);
+    drop(idle);
+}
+
+/// The process before is killed once it has handed its socket over, before the next one takes clients: those that connect in
+/// between are served by that one, and no connection is refused.
+#[rstest]
+fn a_process_killed_once_it_has_handed_its_socket_over_costs_no_connection() {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &discovery);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let mut old = Node::start(&config);
+    let _watched = discovery.accept();
+    published(&old);
+    config["listen"] = json!(old.address.to_string());
+    let new = Node::start(&config);
+    // It waits for the list before it takes clients.
+    let mut silent = discovery.accept();
+    silent.message();
+    old.signal("-KILL");
+    old.exit();
+    let mut client = new.ask("a", "/zone-plan");
+    silent.begin();
+    silent.line(&listing(42, true, &[entry("s-0", server.address, "active")]));
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    new.logs("this process is the whole node");
+}
+
+/// The next process is killed before it takes clients: the one before goes on, and can be replaced.
+#[rstest]
+fn a_next_process_killed_before_it_serves_costs_nothing() {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &discovery);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let old = Node::start(&config);
+    let (mut watched, _) = watch(&discovery);
+    watched.line(&listing(42, true, &[entry("s-0", server.address, "active")]));
+    published(&old);
+    config["listen"] = json!(old.address.to_string());
+    for k in 0..3 {
+        let new = Node::start(&config);
+        let _silent = discovery.accept();
+        old.logs("another process is going to take over");
+        drop(new);
+        old.logs("this one takes clients");
+        let id = format!("{k}");
+        let mut client = old.ask(&id, "/zone-plan");
+        let mut backend = server.accept();
+        assert_eq!(backend.id(), id);
+        backend.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        backend.send(&format!("{}\n", json!({"id": id, "state": "done", "result": "1"})));
+        drop(backend);
+        let answer = client.message();
+        assert_eq!((answer.status(), answer.field("Connection")), (200, None));
+    }
+}
+
+/// What is no request ends its own connection with its answer, wherever it is cut, and no other one.
+#[rstest]
+#[case::nul("POST /zone-plan HTTP/1.1\r\nHost: h\r\nRequest-Id: a\0b\r\n\r\n", 400)]
+#[case::nul_in_target("POST /zone\0plan HTTP/1.1\r\nHost: h\r\n\r\n", 400)]
+#[case::folded("POST /zone-plan HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\n b\r\n\r\n", 400)]
+#[case::space_before_colon("POST /zone-plan HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\nx", 400)]
+#[case::absolute("POST http://h/zone-plan HTTP/1.1\r\n{H}Content-Length: 0\r\n\r\n", 404)]
+#[case::negative("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: -1\r\n\r\n", 400)]
+#[case::list_of_lengths("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: 1, 1\r\n\r\nx", 400)]
+#[case::empty_length("POST /zone-plan HTTP/1.1\r\n{H}Content-Length: \r\n\r\n", 400)]
+#[case::chunked_twice("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked, chunked\r\n\r\n", 501)]
+#[case::two_codings(
+    "POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+    400
+)]
+#[case::negative_chunk("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\n-1\r\n", 400)]
+#[case::endless_chunk_size(
+    "POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\n11111111111111111\r\n",
+    400
+)]
+#[case::chunk_without_end("POST /zone-plan HTTP/1.1\r\n{H}Transfer-Encoding: chunked\r\n\r\n1\r\nxyz", 400)]
+#[case::coding_in_1_0("POST /zone-plan HTTP/1.0\r\n{H}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400)]
+fn what_is_no_request_ends_its_connection_alone(#[case] text: &str, #[case] status: u16) {
+    let (node, server) = pair();
+    let mut other = node.ask("other", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "other");
+    let text = text.replace("{H}", HEAD);
+    for cut in [1, text.len() / 2, text.len() - 1, text.len()] {
+        let mut client = node.client();
+        client.send(&text[..cut]);
+        let mut health = node.client();
+        health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+        assert_eq!(health.message().status(), 200);
+        let _ = client.try_send(&text[cut..]);
+        let answer = client.message();
+        assert_eq!((answer.status(), answer.field("Connection")), (status, Some("close")), "cut at {cut}");
+        assert!(client.ended());
+    }
+    backend.serve("other", "1");
+    assert_eq!(other.message().body, "1");
+    assert!(server.is_left_alone());
+}
+
+/// A request in chunks with extensions and a trailer, cut at every byte, is one request.
+#[rstest]
+fn a_request_in_chunks_is_read_wherever_it_is_cut() {
+    let (node, server) = pair();
+    let chunks = "4;a=\"b\"\r\nabcd\r\n1 ;x\r\ne\r\n0;z\r\nX: y\r\n\r\n";
+    let begin = format!("POST /zone-plan HTTP/1.1\r\n{HEAD}Transfer-Encoding: chunked\r\n\r\n");
+    let text = begin.clone() + chunks;
+    let mut backend: Option<Peer> = None;
+    let mut client = node.client();
+    let mut health = node.client();
+    for cut in begin.len() - 4..text.len() {
+        client.send(&text[..cut]);
+        // What came is read.
+        health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+        assert_eq!(health.message().status(), 200);
+        client.send(&text[cut..]);
+        let backend = backend.get_or_insert_with(|| server.accept());
+        assert_eq!(backend.message().body, "abcde", "cut at {cut}");
+        backend.serve("a", "1");
+        assert_eq!(client.message().body, "1");
+    }
+}
