Judge a job by one set of settings where a reload comes between reading and taking it

The frontend read a job, which looks up the numbers of its class and tenant, then gave the sockets a turn and took the job after it (src/net/frontend.rs, reply). A SIGHUP found in that turn could give the number to another class, as nothing used it yet: the job was dispatched, repeated and answered by that class's settings, or as a keyed one without its key. The turn comes first now, and nothing lies between reading and taking.

On a resting connection the turn was none, as the task is woken by its own request (see the turn of the sockets, which follows). So this took a job that was sent early, behind one that is out.

--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -793,11 +793,12 @@
         if path == "/_health" {
             return Reply::Now(self.health(&request));
         }
+        // The sockets get a turn first, as what is known of them may be older than what was read. From there on to the taking
+        // nothing comes between. Guards against a reload after which the class that a job was read by stands for another one.
+        tokio::task::yield_now().await;
         match self.job(request) {
             Ok((mut ask, job)) => {
-                // Guards against sending on what nobody waits for: the end may have come along with the job. The
-                // sockets get a turn first, as what is known of them may be older than what was read.
-                tokio::task::yield_now().await;
+                // Guards against sending on what nobody waits for: the end may have come along with the job.
                 if self.pool.read_ahead(connection) == Ahead::Ended {
                     return Reply::Gone;
                 }
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -4,9 +4,66 @@
 use crate::support::*;
 use crate::{following, listing, pair, watch, HEAD};
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{json, Value};
+use std::io::Write;
 use std::time::{Duration, Instant};
 
+/// A pipe in place of a node's configuration: the node waits in a reload until it is told what the file says.
+struct Gate(std::fs::File);
+
+impl Gate {
+    fn put(node: &Node) {
+        std::fs::remove_file(node.file()).unwrap();
+        assert!(std::process::Command::new("mkfifo").arg(node.file()).status().unwrap().success());
+    }
+
+    /// The node is in the reload once this returns.
+    fn reached(node: &Node) -> Gate {
+        Gate(std::fs::OpenOptions::new().write(true).open(node.file()).unwrap())
+    }
+
+    /// It reads this, and goes on.
+    fn opens(mut self, config: &Value) {
+        self.0.write_all(config.to_string().as_bytes()).unwrap();
+    }
+}
+
+/// A reload of the configuration between the moment in which a job is read and the one in which it is taken. The job was sent
+/// early, behind one that is out. The node waits in a first reload, which changes nothing, until the answer to the one before, the job
+/// and the signal for a second reload are there: so it waits in that one before it reads the job, and the signal for the third is
+/// found right after it has.
+#[rstest]
+#[case::keyed_from_now_on("zone-plan", "guarded", 400)]
+#[case::left_out("vent-plan", "single_shot", 404)]
+fn a_job_is_judged_by_one_set_of_settings(#[case] name: &str, #[case] semantics: &str, #[case] status: u16) {
+    let server = Party::new();
+    let before = config(&[server.address]);
+    let mut after = before.clone();
+    after["settings"]["classes"][0]["name"] = json!(name);
+    after["settings"]["classes"][0]["semantics"] = json!(semantics);
+    let node = Node::start(&before);
+    let mut client = node.ask("first", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    Gate::put(&node);
+    node.hang_up();
+    let first = Gate::reached(&node);
+    backend.serve("first", "1");
+    client.send(&job("early", "/zone-plan", "1000m", ""));
+    node.hang_up();
+    Gate::put(&node);
+    first.opens(&before);
+    let second = Gate::reached(&node);
+    node.hang_up();
+    std::fs::remove_file(node.file()).unwrap();
+    node.replace(&after.to_string());
+    second.opens(&before);
+    let lines = node.logs_until("new settings hold");
+    assert_eq!(client.message().body, "1");
+    assert_eq!(client.message().status(), status, "{lines:#?}");
+    assert!(backend.ended_early() && server.is_left_alone(), "it was sent by the rules of another class");
+}
+
 /// Idle clients fill what descriptors the system gives while discovery is down and jobs are out: it is called all the same, its list
 /// comes in as it returns, operators are answered, and new jobs go out.
 #[rstest]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -243,6 +243,11 @@
         std::fs::write(&self.file, config).unwrap();
     }
 
+    /// Where its configuration is.
+    pub fn file(&self) -> &std::path::Path {
+        &self.file
+    }
+
     /// How many descriptors it has open.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
