Hear what discovery has written before a watch counts as silent

A change that discovery has written is told. Where the process stood still past the time of silence, the system hands it the clock before the sockets: next() in src/net/server_table.rs then found no piece, took the watch for silent and dropped it with the list that lay unread; the change came over the next watch, after a pause of up to 0.75 s and a turn of up to 2 s, past the drains' half second. It looks once more after a turn in which the sockets are heard, as the frontend does.

--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -11,6 +11,7 @@
 use super::Job;
 use crate::api::Standing;
 use crate::settings::micros;
+use futures_util::FutureExt;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -350,7 +351,15 @@
         let piece = tokio::select! {
             biased;
             piece = self.pool.next(connection) => piece,
-            () = self.deadlines.at(held.since + SILENCE) => return Err(Ending::Silent),
+            () = self.deadlines.at(held.since + SILENCE) => {
+                // Guards what has come by now: the clock may have been looked at before the sockets were, as where the
+                // process stood still. What discovery has written is told.
+                tokio::task::yield_now().await;
+                match self.pool.next(connection).now_or_never() {
+                    Some(piece) => piece,
+                    None => return Err(Ending::Silent),
+                }
+            }
         };
         match piece {
             // Not ours to blame: the list held stays what the next watch builds on.
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -6,8 +6,13 @@
 use rstest::rstest;
 use serde_json::{json, Value};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
 /// A pipe in place of a node's configuration: the node waits in a reload until it is told what the file says.
 struct Gate(std::fs::File);
 
@@ -64,6 +69,35 @@
     assert!(backend.ended_early() && server.is_left_alone(), "it was sent by the rules of another class");
 }
 
+/// One of so many nodes that ask for their lists.
+fn asking(server: SocketAddr, discovery: &Party, replicas: u32) -> Value {
+    let mut config = following(&[server], discovery);
+    config["settings"]["replicas_of_me"] = json!(replicas);
+    config["settings"]["discovery"] = json!("on_request");
+    config
+}
+
+/// A list that discovery wrote while the process stood still has been told: it is in force at once as the process goes on,
+/// although nothing was heard for longer than a watch may be silent.
+#[rstest]
+fn what_came_while_the_process_stood_still_is_heard_before_silence_is(#[values(1, 20, 300)] replicas: u32) {
+    let (server, discovery) = (Party::new(), Party::new());
+    let node = Node::start(&asking(server.address, &discovery, replicas));
+    let (mut watch, _) = watch(&discovery);
+    watch.line(&listing(42, true, &[entry("s-0", server.address, "active")]));
+    node.logs("server table 42");
+    node.stand_still(true);
+    watch.line(&listing(43, false, &[entry("s-0", server.address, "leaving")]));
+    std::thread::sleep(ms(2_600));
+    node.stand_still(false);
+    let lines = node.logs_until("server table 43");
+    assert!(lines.iter().all(|l| !l.contains("end server-table")), "{lines:?}");
+    // And the watch goes on.
+    watch.line(&listing(44, false, &[entry("s-0", server.address, "active")]));
+    let lines = node.logs_until("server table 44");
+    assert!(lines.iter().all(|l| !l.contains("end server-table")), "{lines:?}");
+}
+
 /// Idle clients fill what descriptors the system gives while discovery is down and jobs are out: it is called all the same, its list
 /// comes in as it returns, operators are answered, and new jobs go out.
 #[rstest]
