Put no job on an idle connection on which half a second answer has come

A second answer may come some milliseconds after the first, and in pieces. A whole one ends an idle connection; of half a one nothing showed, so the next job was written behind it and the rest was taken for that job's answer: "not started" for one that runs, and a job that must not run twice is made again (parked() in src/net/backend.rs). A connection that holds bytes hands its job back now and ends.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -504,7 +504,9 @@
                 Some(_) => Ending::Malformed,
             },
             call = calls.recv() => match call {
-                Some(Call::Do(task)) => return Ok(task),
+                Some(Call::Do(task)) if connection.read_buffer().is_empty() => return Ok(task),
+                // Guards against half of a second answer, which would make one with what the next job is answered.
+                Some(Call::Do(task)) => return Err((Ending::Malformed, Some(task))),
                 Some(Call::Close(ending)) => ending,
                 None => Ending::Shutdown,
             },
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -69,6 +69,37 @@
     assert!(backend.ended_early() && server.is_left_alone(), "it was sent by the rules of another class");
 }
 
+/// Half of a second answer comes while a connection is idle, and the next job with it or later: that job goes over another
+/// connection, as the rest of that answer would be taken for its own.
+#[rstest]
+fn half_a_second_answer_is_not_the_next_jobs(#[values(false, true)] at_once: bool) {
+    let (node, server) = pair();
+    let mut client = node.ask("a", "/actuator-cmd");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    // Long enough that the connection counts as quiet.
+    assert!(client.hears_nothing(ms(60)));
+    node.stand_still(true);
+    backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nX-No");
+    if !at_once {
+        node.stand_still(false);
+        let mut health = node.client();
+        health.send("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+        assert_eq!(health.message().status(), 200);
+    }
+    client.send(&job("b", "/actuator-cmd", "5000m", ""));
+    node.stand_still(false);
+    let mut other = server.accept();
+    assert_eq!(other.id(), "b");
+    assert!(!backend.goes_on(), "nothing is written behind half an answer");
+    other.serve("b", "2");
+    assert_eq!(client.message().body, "2");
+    node.logs("reason=malformed messages=1");
+    assert!(server.is_left_alone());
+}
+
 /// One of so many nodes that ask for their lists.
 fn asking(server: SocketAddr, discovery: &Party, replicas: u32) -> Value {
     let mut config = following(&[server], discovery);
