Give discovery's lists buffers of their own, which clients can't use up

All messages share one bound on memory. Clients that hold bodies up to it kept every list out: a part of one found no memory, the watch ended as malformed and the whole list was asked for over and over, while what it told counted as told. The lists have a pool of their own, as the operators' door has.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -237,9 +237,11 @@
     let (discovery, told) = watch::channel(config.discovery);
     let backoff = Backoff::new(config.seed, config.setup.askers(), Instant::now());
     let lists = Rc::new(ListCalls::default());
-    let mut table =
-        ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told, backoff, lists.clone());
     let limits = config.limits;
+    // Its own: what clients hold of the node's buffers must not keep a list out.
+    let of_lists = Rc::new(Pool::new(limits.messages()));
+    let mut table =
+        ServerTable::new(exchange.clone(), deadlines.clone(), of_lists, told, backoff, lists.clone());
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool.clone(), limits.connections(1));
     let handover =
         Handover::new(frontend.clone(), deadlines.clone(), (address, handing), Rc::downgrade(&listener), {
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -129,6 +129,36 @@
     assert!(lines.iter().all(|l| !l.contains("end server-table")), "{lines:?}");
 }
 
+/// Clients that hold all that messages may hold keep no list of discovery out.
+#[rstest]
+fn clients_that_hold_all_memory_keep_no_list_out() {
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = following(&[server.address], &discovery);
+    config["limits"]["memory_mb"] = json!(1);
+    let node = Node::start(&config);
+    let (mut watch, _) = watch(&discovery);
+    // A quarter of 1 MiB is for messages: four bodies but for some bytes.
+    let body = "x".repeat(65_500);
+    let half = |k: usize| {
+        let mut client = node.client();
+        let head = HEAD.replace("Request-Id: a", &format!("Request-Id: {k}"));
+        client.send(&format!("POST /zone-plan HTTP/1.1\r\n{head}Content-Length: 65536\r\n\r\n{body}"));
+        client
+    };
+    let mut held: Vec<Peer> = (0..4).map(half).collect();
+    loop {
+        let mut one_more = node.client();
+        one_more.send(&job("more", "/no-such-class", "400m", &"x".repeat(1_000)));
+        if one_more.message().status() == 503 {
+            break;
+        }
+    }
+    watch.line(&listing(42, false, &[entry("s-0", server.address, "leaving")]));
+    let lines = node.logs_until("server table 42");
+    assert!(lines.iter().all(|l| !l.contains("no memory is left for a part")), "{lines:?}");
+    assert!(held[0].hears_nothing(ms(1)), "they hold it still");
+}
+
 /// Idle clients fill what descriptors the system gives while discovery is down and jobs are out: it is called all the same, its list
 /// comes in as it returns, operators are answered, and new jobs go out.
 #[rstest]
