Give the number of a class that a reload uses again its new name

A reload gives classes new numbers, also such as nothing uses any more, but left the names by number as they were (Setup::renew in crates/core/src/settings.rs). Whatever goes by the class's name then went by another class's, or by none: what is placed, where a key's home is, the answer that is kept for a key, the audit, what sites lend. The names follow the numbers; an old number that open jobs hold keeps its name.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -237,6 +237,10 @@
             fresh.push((ClassId(number), from.map(ClassId)));
             index.insert(name.clone(), number as u32);
         }
+        // A number that is used again has another name.
+        let last = index.values().max().map_or(0, |n| *n as usize + 1);
+        names.classes.list.resize(names.classes.list.len().max(last), String::new());
+        index.iter().for_each(|(name, number)| names.classes.list[*number as usize].clone_from(name));
         names.classes.index = index;
         let tenants = std::mem::take(&mut new.tenants);
         new.tenants = old.tenants.iter().map(|_| TenantSettings { share: 0.0, quota_per_s: 0.0 }).collect();
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -5,8 +5,10 @@
 use crate::{following, listing, pair, watch, HEAD};
 use rstest::rstest;
 use serde_json::{json, Value};
+use shorepath::net::exchange::Exchange;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 fn ms(n: u64) -> Duration {
@@ -325,3 +327,22 @@
         assert_eq!(client.message().body, "1");
     }
 }
+
+/// Numbers of classes that a reload left out are used again; what has come under one before is never taken for what comes under
+/// it now, also where classes are known by their names: in what is written down, and in answers that are kept.
+#[rstest]
+fn a_class_has_its_own_name_after_each_reload() {
+    let class = |name: &str, k: usize| json!({"name": name, "semantics": "single_shot", "deadline_ms": 900.0 + k as f64});
+    let setup = |names: &[&str]| {
+        let classes: Vec<_> = names.iter().enumerate().map(|(k, name)| class(name, k)).collect();
+        serde_json::from_value(json!({ "classes": classes })).unwrap()
+    };
+    let (exchange, _orders) = Exchange::<()>::new(&setup(&["a", "b"]), 1, Rc::default());
+    let (first, second) = (["a", "b"], ["c", "b", "d"]);
+    for names in [&first[..], &second, &["d", "c"], &["e", "a", "f", "d"], &first, &["g"], &second] {
+        exchange.retune(setup(names));
+        for name in names {
+            assert_eq!(exchange.class_name(exchange.class(name).unwrap()), *name, "in {names:?}");
+        }
+    }
+}
