Start after a process that ends just then, though its address is not free yet

A process that ends closes its sockets one after another. Where the one by which it is found goes first, the next process sees the link reset, or nobody behind the name, while the address is still held: it said "address in use" and ended, so that nobody served (inherit() in src/net/handover.rs, run() in src/net/mod.rs). The address is tried again now, for as long as a handover may take; a process that is alive and hands nothing over still ends the start at once.

A second test forces the order with a stand-in that closes the socket of clients last, with the link open and with the name alone.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -25,7 +25,7 @@
 
 /// How long the serving process may take to hand its listening socket over, before the next one takes
 /// it for dead and binds the address itself.
-const PATIENCE: Duration = Duration::from_secs(2);
+pub const PATIENCE: Duration = Duration::from_secs(2);
 /// The pause after a process could not be accepted.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A word between the two holds this much at most: an id, which a head has to hold.
@@ -53,14 +53,33 @@
     Off,
 }
 
+/// Who serves at an address.
+#[derive(Debug)]
+pub enum Found {
+    /// A process that has handed its listening socket over.
+    Serving(Inheritance),
+    /// A process that has just ended, or ended long ago and left its name: the address may not be free yet.
+    Ended,
+    /// Nobody, or a process that hands nothing over.
+    Nobody,
+}
+
 /// Be handed the listening socket, if there is a process that serves at that address.
-pub fn inherit(listen: SocketAddr, handing: Handing) -> Option<Inheritance> {
-    let link = std::os::unix::net::UnixStream::connect(meeting_place(listen, handing)?).ok()?;
+pub fn inherit(listen: SocketAddr, handing: Handing) -> Found {
+    let Some(place) = meeting_place(listen, handing) else { return Found::Nobody };
+    let link = match std::os::unix::net::UnixStream::connect(place) {
+        Ok(link) => link,
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => return Found::Ended,
+        Err(_) => return Found::Nobody,
+    };
     match receive(&link, listen) {
-        Ok(listener) => Some((listener, link)),
+        Ok(listener) => Found::Serving((listener, link)),
         Err(e) => {
             warn!("the serving process hands nothing over: {e}");
-            None
+            match e.kind() {
+                io::ErrorKind::ConnectionReset | io::ErrorKind::UnexpectedEof => Found::Ended,
+                _ => Found::Nobody,
+            }
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,12 +33,13 @@
 use fleet::{Fleet, ListCalls, Sharing, SharingError};
 use frontend::{Claim, Frontend};
 pub use handover::Handing;
-use handover::Handover;
+use handover::{Found, Handover};
 use pool::{Buffer, Pool};
 use server_table::ServerTable;
 use shorepath_audit::record::Why;
 use shorepath_audit::version::Item;
 use sites::{Sites, Siting, SitingError};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,7 +49,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// A request as it goes on to a backend server.
 #[derive(Debug)]
@@ -96,6 +97,8 @@
 
 /// A process that takes over waits this long at most for discovery's list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
+/// The pause before an address is tried again that a process which has ended may still hold.
+const NOT_FREE: Duration = Duration::from_millis(10);
 
 /// The program's runtime, and the signals that come from the moment on in which it was made. Guards against
 /// ending on a signal that comes while the configuration is read, which the system does to a program that does
@@ -204,6 +207,24 @@
     TcpListener::bind(address).await.map_err(|source| ServeError::Listen { address, source })
 }
 
+/// Listen where a process has just ended. Guards against no process at all: its sockets close one after another, so the one by which
+/// it is found may be gone before the address is free.
+async fn listen_after(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    let end = Instant::now() + handover::PATIENCE;
+    loop {
+        match listen(address).await {
+            Err(ServeError::Listen { source, .. })
+                if source.kind() == ErrorKind::AddrInUse && Instant::now() < end =>
+            {
+                debug!("{address} is not free yet");
+                // Nothing is served yet that this could hold up.
+                std::thread::sleep(NOT_FREE);
+            }
+            other => return other,
+        }
+    }
+}
+
 async fn run(
     signals: Signals,
     mut config: Config,
@@ -218,8 +239,9 @@
     let handing = if config.mgmt.is_some() && siting.is_none() { handing } else { Handing::Off };
     let Signals { mut hangup, mut terminate, mut interrupt } = signals;
     let (listener, before) = match handover::inherit(config.listen, handing) {
-        Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
-        None => (listen(config.listen).await?, None),
+        Found::Serving((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
+        Found::Ended => (listen_after(config.listen).await?, None),
+        Found::Nobody => (listen(config.listen).await?, None),
     };
     let listener = Rc::new(listener);
     let address = listener.local_addr()?;
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -205,6 +205,65 @@
     drop(idle);
 }
 
+/// A process with a door and its server; the next one has connected to it, or is about to, while it stands still.
+fn standing(config: &mut Value) -> (Node, Node) {
+    config["mgmt"] = json!("127.0.0.1:0");
+    let old = Node::start(config);
+    published(&old);
+    config["listen"] = json!(old.address.to_string());
+    old.stand_still(true);
+    let new = Node::starting(command(&[PROGRAM, "serve", "-v"], &config.to_string()));
+    while !new.handles_hang_up() {
+        std::thread::yield_now();
+    }
+    (old, new)
+}
+
+/// The process before is killed before it has handed its socket over: the next one binds the address itself.
+#[rstest]
+fn a_process_killed_before_it_hands_its_socket_over_is_replaced() {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    let (mut old, new) = standing(&mut config);
+    old.signal("-KILL");
+    old.exit();
+    let new = new.serving();
+    assert_eq!(new.address, old.address);
+    let mut client = new.ask("a", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+}
+
+/// A stand-in for the process before ends while the next one waits for its socket, or has ended just before that comes. As with any
+/// process its sockets close one after another, and the one at which clients connect is the last.
+#[rstest]
+fn a_process_that_ends_is_replaced_whichever_of_its_sockets_closes_first(#[values(false, true)] found: bool) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["mgmt"] = json!("127.0.0.1:0");
+    let clients = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = clients.local_addr().unwrap();
+    config["listen"] = json!(address.to_string());
+    let place = meeting_place().join(format!("shorepath-{address}.sock"));
+    let next = std::os::unix::net::UnixListener::bind(&place).unwrap();
+    let new = if found {
+        let new = Node::starting(command(&[PROGRAM, "serve", "-v"], &config.to_string()));
+        drop(next.accept().unwrap());
+        new.logs("hands nothing over");
+        drop(next);
+        new
+    } else {
+        drop(next);
+        Node::starting(command(&[PROGRAM, "serve", "-v"], &config.to_string()))
+    };
+    new.logs("is not free yet");
+    drop(clients);
+    let new = new.serving();
+    assert_eq!((new.address, new.call("GET", "/ops/readiness")), (address, 200));
+}
+
 /// The process before is killed once it has handed its socket over, before the next one takes clients: those that connect in
 /// between are served by that one, and no connection is refused.
 #[rstest]
