Give the sockets a turn that a task's own wake-up can't cut short

Where the frontend, the backend and the server table look once more for what has come by now, they yielded first, so that the sockets are looked at. A task that anything else has woken meanwhile goes on at once, and a request on a resting connection does that itself: the codec's notice and the place that it gives up both wake the task that reads it. A trace shows the job read and written to its server with no look at the sockets between, though its client had left before. The turn is a task of its own now, which nothing else wakes (turn() in src/net/mod.rs).

Also tested, and right before: two reloads that move discovery twice in two turns; a time that one task begins to wait for and another goes on with.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -7,7 +7,7 @@
 use super::ending::{Ending, Side};
 use super::exchange::{DispatchId, Exchange, Order};
 use super::pool::Pool;
-use super::Job;
+use super::{turn, Job};
 use crate::api::{Effect, Status, WorkerId};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -352,7 +352,7 @@
         };
         // What came in the same turn is heard first. Guards against writing for a client whose leaving waits to be read, as where the
         // process stood still.
-        tokio::task::yield_now().await;
+        turn().await;
         let (mut messages, mut answered_at, mut used_at) = (0, None, Instant::now());
         let (ending, left) = loop {
             if self.is_wanted(&task) {
--- a/src/net/frontend.rs
+++ b/src/net/frontend.rs
@@ -8,7 +8,7 @@
 use super::pool::{Ahead, Pool};
 use super::sites::{Barred, Mark, Sites};
 use super::stopping::Stopping;
-use super::Job;
+use super::{turn, Job};
 use crate::api::{Entry, Micros};
 use futures_util::FutureExt;
 use std::cell::{Cell, RefCell};
@@ -428,7 +428,7 @@
                     if full || waits || std::mem::replace(&mut looked, true) {
                         return;
                     }
-                    tokio::task::yield_now().await;
+                    turn().await;
                     continue;
                 }
             };
@@ -642,7 +642,7 @@
             let sends_away = self.state.borrow().sends_away();
             if sends_away && next.is_none() && connection.read_buffer().is_empty() {
                 // Guards what has come by now, as in [`Frontend::next`].
-                tokio::task::yield_now().await;
+                turn().await;
                 next = self.pool.next(connection).now_or_never();
             }
             // A request that has come already is still served.
@@ -703,7 +703,7 @@
             if over.is_some() {
                 // Guards what has come by now: the clock may have been looked at before the sockets were, as
                 // where the process stood still. It would be read and thrown away.
-                tokio::task::yield_now().await;
+                turn().await;
                 if let Some(item) = self.pool.next(connection).now_or_never() {
                     break Ok(item);
                 }
@@ -795,7 +795,7 @@
         }
         // The sockets get a turn first, as what is known of them may be older than what was read. From there on to the taking
         // nothing comes between. Guards against a reload after which the class that a job was read by stands for another one.
-        tokio::task::yield_now().await;
+        turn().await;
         match self.job(request) {
             Ok((mut ask, job)) => {
                 // Guards against sending on what nobody waits for: the end may have come along with the job.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -70,6 +70,13 @@
     pub body: Buffer,
 }
 
+/// Ready once the sockets have been looked at anew. Guards whoever wants to know what has come by now: a task that yields by itself goes
+/// on at once where anything else has woken it, as its own request does.
+async fn turn() {
+    // It ends with the runtime alone, and then there is nothing to look at.
+    let _ = spawn_local(tokio::task::yield_now()).await;
+}
+
 /// Why the node could not serve.
 #[derive(Debug, Error)]
 pub enum ServeError {
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -8,7 +8,7 @@
 use super::fleet::ListCalls;
 use super::objects::Objects;
 use super::pool::Pool;
-use super::Job;
+use super::{turn, Job};
 use crate::api::Standing;
 use crate::settings::micros;
 use futures_util::FutureExt;
@@ -354,7 +354,7 @@
             () = self.deadlines.at(held.since + SILENCE) => {
                 // Guards what has come by now: the clock may have been looked at before the sockets were, as where the
                 // process stood still. What discovery has written is told.
-                tokio::task::yield_now().await;
+                turn().await;
                 match self.pool.next(connection).now_or_never() {
                     Some(piece) => piece,
                     None => return Err(Ending::Silent),
--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -2,10 +2,12 @@
 
 use crate::operators::published;
 use crate::support::*;
-use crate::{following, listing, pair, watch, HEAD};
+use crate::{following, listing, pair, watch, whole_list, HEAD};
 use rstest::rstest;
 use serde_json::{json, Value};
+use shorepath::net::deadlines::Deadlines;
 use shorepath::net::exchange::Exchange;
+use std::future::Future;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,6 +73,111 @@
     assert!(backend.ended_early() && server.is_left_alone(), "it was sent by the rules of another class");
 }
 
+/// A client hands a job in on a resting connection and leaves, both while the process stands between hearing of the job and reading
+/// it: the job is not sent on, although an idle connection to the server is there at once.
+#[rstest]
+fn a_client_that_leaves_before_its_job_is_read_has_gone(#[values(false, true)] resets: bool) {
+    let server = Party::new();
+    let config = config(&[server.address]);
+    let node = Node::start(&config);
+    let mut client = node.ask("first", "/zone-plan");
+    let mut backend = server.accept();
+    assert_eq!(backend.id(), "first");
+    backend.serve("first", "1");
+    assert_eq!(client.message().body, "1");
+    Gate::put(&node);
+    node.hang_up();
+    let first = Gate::reached(&node);
+    client.send(&job("gone", "/zone-plan", "5000m", ""));
+    node.hang_up();
+    Gate::put(&node);
+    first.opens(&config);
+    let second = Gate::reached(&node);
+    let gone = client.into_stream();
+    if resets {
+        rustix::net::connect_unspec(&gone).unwrap();
+    } else {
+        gone.shutdown(std::net::Shutdown::Both).unwrap();
+    }
+    std::fs::remove_file(node.file()).unwrap();
+    node.replace(&config.to_string());
+    second.opens(&config);
+    node.logs("end frontend");
+    let mut next = node.ask("next", "/zone-plan");
+    assert_eq!(backend.id(), "next");
+    backend.serve("next", "2");
+    assert_eq!(next.message().body, "2");
+    assert!(server.is_left_alone());
+}
+
+/// Two other discoveries in a row, by two reloads that are found in two turns: the last one's whole list is in force, and nothing
+/// that another one says.
+#[rstest]
+fn two_moves_in_a_row_end_at_the_last_discovery() {
+    let (server, other, last) = (Party::new(), Party::new(), Party::new());
+    let (first, second, third) = (Party::new(), Party::new(), Party::new());
+    let mut config = following(&[server.address], &first);
+    let node = Node::start(&config);
+    let (mut before, _) = watch(&first);
+    before.line(&listing(42, true, &[entry("s-0", server.address, "active")]));
+    node.logs("server table 42");
+    Gate::put(&node);
+    node.hang_up();
+    let gate = Gate::reached(&node);
+    let wrong = listing(50, true, &[entry("s-other", other.address, "active")]);
+    before.line(&wrong);
+    node.hang_up();
+    config["discovery"] = json!(second.address.to_string());
+    let moved = config.clone();
+    config["discovery"] = json!(third.address.to_string());
+    std::fs::remove_file(node.file()).unwrap();
+    node.replace(&config.to_string());
+    gate.opens(&moved);
+    second.attended(move |mut peer| {
+        let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{wrong}", wrong.len());
+        while peer.try_send(&whole) && peer.goes_on() {
+            peer.message();
+        }
+    });
+    let mut told = whole_list(&third, &listing(7, true, &[entry("s-last", last.address, "active")]));
+    assert_eq!(told.message().first, "GET /catalog/members?watch=1&from=7 HTTP/1.1");
+    let mut client = node.ask("a", "/zone-plan");
+    let mut backend = last.accept();
+    assert_eq!(backend.id(), "a");
+    backend.serve("a", "1");
+    assert_eq!(client.message().body, "1");
+    assert!(other.is_left_alone() && first.is_left_alone());
+}
+
+/// A time that one task has waited for and that another goes on waiting for wakes the other one.
+#[rstest]
+fn a_time_wakes_whoever_waits_for_it_last() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let all = Rc::new(Deadlines::default());
+        let sweeping = all.clone();
+        tokio::task::spawn_local(async move { sweeping.sweep().await });
+        for ahead in [0, 1, 30] {
+            let mut due = Box::pin(all.after(ms(ahead)));
+            let mut polled = Some(&mut due);
+            std::future::poll_fn(|cx| {
+                let _ = polled.take().map(|due| due.as_mut().poll(cx));
+                std::task::Poll::Ready(())
+            })
+            .await;
+            let late = all.after(Duration::from_secs(9));
+            tokio::task::spawn_local(async move {
+                tokio::select! {
+                    () = due => {}
+                    () = late => panic!("it was never woken"),
+                }
+            })
+            .await
+            .unwrap();
+        }
+    });
+}
+
 /// Half of a second answer comes while a connection is idle, and the next job with it or later: that job goes over another
 /// connection, as the rest of that answer would be taken for its own.
 #[rstest]
