--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -7,7 +7,7 @@
 use super::ending::{Ending, Side};
 use super::exchange::{DispatchId, Exchange, Order, Wanted};
 use super::pool::Pool;
-use super::Job;
+use super::{turn, Job};
 use crate::api::{Effect, Status, WorkerId};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
@@ -385,7 +385,7 @@
         };
         // What came in the same turn is heard first. Guards against writing for a client whose leaving waits to be read, as where the
         // process stood still.
-        tokio::task::yield_now().await;
+        turn().await;
         let (mut messages, mut answered_at, mut used_at) = (0, None, Instant::now());
         let (ending, left) = loop {
             if task.is_wanted() {
@@ -522,7 +522,9 @@
                 Some(_) => Ending::Malformed,
             },
             call = calls.recv() => match call {
-                Some(Call::Do(task)) => return Ok(task),
+                Some(Call::Do(task)) if connection.read_buffer().is_empty() => return Ok(task),
+                // Guards against half of a second answer, which would make one with what the next job is answered.
+                Some(Call::Do(task)) => return Err((Ending::Malformed, Some(task))),
                 Some(Call::Close(ending)) => ending,
                 None => Ending::Shutdown,
             },
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,12 +33,13 @@
 use fleet::{Fleet, ListCalls, Sharing, SharingError};
 use frontend::{Claim, Frontend};
 pub use handover::Handing;
-use handover::Handover;
+use handover::{Found, Handover};
 use pool::{Buffer, Pool};
 use server_table::ServerTable;
 use shorepath_audit::record::Why;
 use shorepath_audit::version::Item;
 use sites::{Sites, Siting, SitingError};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -48,7 +49,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// A request as it goes on to a backend server.
 #[derive(Debug)]
@@ -69,6 +70,13 @@
     pub body: Buffer,
 }
 
+/// Ready once the sockets have been looked at anew. Guards whoever wants to know what has come by now: a task that yields by itself goes
+/// on at once where anything else has woken it, as its own request does.
+async fn turn() {
+    // It ends with the runtime alone, and then there is nothing to look at.
+    let _ = spawn_local(tokio::task::yield_now()).await;
+}
+
 /// Why the node could not serve.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -96,6 +104,8 @@
 
 /// A process that takes over waits this long at most for discovery's list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
+/// The pause before an address is tried again that a process which has ended may still hold.
+const NOT_FREE: Duration = Duration::from_millis(10);
 
 /// The program's runtime, and the signals that come from the moment on in which it was made. Guards against
 /// ending on a signal that comes while the configuration is read, which the system does to a program that does
@@ -204,6 +214,24 @@
     TcpListener::bind(address).await.map_err(|source| ServeError::Listen { address, source })
 }
 
+/// Listen where a process has just ended. Guards against no process at all: its sockets close one after another, so the one by which
+/// it is found may be gone before the address is free.
+async fn listen_after(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    let end = Instant::now() + handover::PATIENCE;
+    loop {
+        match listen(address).await {
+            Err(ServeError::Listen { source, .. })
+                if source.kind() == ErrorKind::AddrInUse && Instant::now() < end =>
+            {
+                debug!("{address} is not free yet");
+                // Nothing is served yet that this could hold up.
+                std::thread::sleep(NOT_FREE);
+            }
+            other => return other,
+        }
+    }
+}
+
 async fn run(
     signals: Signals,
     mut config: Config,
@@ -218,8 +246,9 @@
     let handing = if config.mgmt.is_some() && siting.is_none() { handing } else { Handing::Off };
     let Signals { mut hangup, mut terminate, mut interrupt } = signals;
     let (listener, before) = match handover::inherit(config.listen, handing) {
-        Some((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
-        None => (listen(config.listen).await?, None),
+        Found::Serving((listener, link)) => (TcpListener::from_std(listener)?, Some(link)),
+        Found::Ended => (listen_after(config.listen).await?, None),
+        Found::Nobody => (listen(config.listen).await?, None),
     };
     let listener = Rc::new(listener);
     let address = listener.local_addr()?;
@@ -237,9 +266,11 @@
     let (discovery, told) = watch::channel(config.discovery);
     let backoff = Backoff::new(config.seed, config.setup.askers(), Instant::now());
     let lists = Rc::new(ListCalls::default());
-    let mut table =
-        ServerTable::new(exchange.clone(), deadlines.clone(), pool.clone(), told, backoff, lists.clone());
     let limits = config.limits;
+    // Its own: what clients hold of the node's buffers must not keep a list out.
+    let of_lists = Rc::new(Pool::new(limits.messages()));
+    let mut table =
+        ServerTable::new(exchange.clone(), deadlines.clone(), of_lists, told, backoff, lists.clone());
     let frontend = Frontend::new(exchange.clone(), deadlines.clone(), pool.clone(), limits.connections(1));
     let handover =
         Handover::new(frontend.clone(), deadlines.clone(), (address, handing), Rc::downgrade(&listener), {
