Count at a cold server what twenty real processes send it at once

Twenty processes are told of one cold server in the same moment, are quiet for 4 s, so that each has saved what it can, and get six requests each in the same moment. The server counts the work of the requests whose last byte has come over the time in which it falls.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -16,6 +16,8 @@
 mod lists;
 #[path = "node/operators.rs"]
 mod operators;
+#[path = "node/rare.rs"]
+mod rare;
 #[path = "node/recovery.rs"]
 mod recovery;
 #[path = "node/sites.rs"]
--- a/tests/node/stopping.rs
+++ b/tests/node/stopping.rs
@@ -62,7 +62,7 @@
 }
 
 /// Wait until that moment, on a connection on which nothing comes meanwhile.
-fn until(at: Instant) {
+pub fn until(at: Instant) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
