--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -23,7 +23,7 @@
 
 /// How a call fails.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Failure {
+pub enum Failure {
     /// Turned away at once.
     Busy,
     /// Turned away after it has waited its turn.
@@ -35,7 +35,7 @@
 }
 
 impl Failure {
-    fn play(self, mut peer: Peer) {
+    pub fn play(self, mut peer: Peer) {
         match self {
             Failure::Busy | Failure::WaitedInVain => {
                 peer.message();
--- a/tests/node/written.rs
+++ b/tests/node/written.rs
@@ -10,22 +10,22 @@
 use std::time::{Duration, Instant};
 
 /// A server that can be shut, so that connections to it come up late.
-struct Door {
+pub struct Door {
     listener: TcpListener,
-    address: SocketAddr,
+    pub address: SocketAddr,
     /// Those that fill its queue while it is shut.
     filled: Vec<TcpStream>,
 }
 
 impl Door {
-    fn new() -> Door {
+    pub fn new() -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listener.set_nonblocking(true).unwrap();
         Door { address: listener.local_addr().unwrap(), listener, filled: Vec::new() }
     }
 
     /// From now on no connection comes up. Twice in a row: one that is late alone may be this process's own fault.
-    fn shut(&mut self) {
+    pub fn shut(&mut self) {
         let mut late = 0;
         while late < 2 {
             match TcpStream::connect_timeout(&self.address, Duration::from_millis(300)) {
@@ -40,7 +40,7 @@
 
     /// Whoever has connected. From the first call on connections come up again: whoever began to connect meanwhile comes once the
     /// system tries again, a second after the first time.
-    fn came(&self) -> Option<Peer> {
+    pub fn came(&self) -> Option<Peer> {
         loop {
             let (stream, from) = self.listener.accept().ok()?;
             if !self.filled.iter().any(|f| f.local_addr().is_ok_and(|own| own == from)) {
@@ -51,11 +51,11 @@
     }
 
     /// Wait until somebody has begun to connect, as the system sees it, and doesn't come up.
-    fn waits_for_one(&self) {
+    pub fn waits_for_one(&self) {
         system_has(&format!(":{:04X} 02 ", self.address.port()));
     }
 
-    fn accept(&self) -> Peer {
+    pub fn accept(&self) -> Peer {
         let begin = Instant::now();
         loop {
             if let Some(peer) = self.came() {
@@ -65,6 +65,22 @@
             std::thread::sleep(Duration::from_millis(1));
         }
     }
+
+    /// Whatever comes next, over the connection that is kept or over another one.
+    pub fn comes(&self, mut kept: Option<Peer>) -> Peer {
+        let begin = Instant::now();
+        loop {
+            if let Some(peer) = self.came() {
+                return peer;
+            }
+            if let Some(mut peer) = kept.take_if(|p| !p.hears_nothing(Duration::from_millis(1))) {
+                if peer.goes_on() {
+                    return peer;
+                }
+            }
+            assert!(begin.elapsed() < LONG, "nobody came");
+        }
+    }
 }
 
 /// Wait until the system has a connection like that.
@@ -83,7 +99,7 @@
 }
 
 /// A configuration with that server, whose connections and jobs may take long, and where attempts can or can't be called off.
-fn patient(server: SocketAddr, cancel: bool) -> Value {
+pub fn patient(server: SocketAddr, cancel: bool) -> Value {
     let mut config = config(&[server]);
     let settings = &mut config["settings"];
     (0..2).for_each(|class| settings["classes"][class]["deadline_ms"] = json!(30_000.0));
@@ -106,12 +122,13 @@
 }
 
 /// The head of a keyed job.
-fn keyed(id: &str) -> String {
+pub fn keyed(id: &str) -> String {
     let key = "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nTenant:";
     job(id, "/actuator-cmd", "30000m", "").replace("Tenant:", key)
 }
 
-const FULL: &str = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+pub const FULL: &str =
+    "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// A client that leaves while its job's connection comes up: nothing of it is written.
 #[rstest]
@@ -385,7 +402,7 @@
 }
 
 /// The time of a line of the log within its minute.
-fn seconds(line: &str) -> f64 {
+pub fn seconds(line: &str) -> f64 {
     line[17..26].parse().unwrap()
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -390,6 +390,10 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    pub fn send_bytes(&mut self, bytes: &[u8]) {
+        self.stream.get_mut().write_all(bytes).unwrap();
+    }
+
     /// Whether the other side still takes it.
     pub fn try_send(&mut self, text: &str) -> bool {
         self.stream.get_mut().write_all(text.as_bytes()).is_ok()
@@ -450,7 +454,17 @@
 
     /// Wait until something has come and close over it unread, which resets the connection.
     pub fn reset(self) {
-        assert!(self.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0), "nothing came");
+        assert!(self.has_come(), "nothing came");
+    }
+
+    /// Reset the connection, whatever has come over it.
+    pub fn resets(self) {
+        rustix::net::connect_unspec(self.stream.get_ref()).unwrap();
+    }
+
+    /// Whether something comes, which stays unread in the system.
+    pub fn has_come(&self) -> bool {
+        self.stream.get_ref().peek(&mut [0]).is_ok_and(|n| n > 0)
     }
 
     /// Send this so many times, or until the other side reads no more.
