--- a/tests/node.rs
+++ b/tests/node.rs
@@ -18,6 +18,8 @@
 mod operators;
 #[path = "node/orders.rs"]
 mod orders;
+#[path = "node/rare.rs"]
+mod rare;
 #[path = "node/recovery.rs"]
 mod recovery;
 #[path = "node/sites.rs"]
