Open a cold server to each node for moments only, so that no burst spends what all saved

Two causes in balance.rs: each scheduler keeps up to a job of mean work for every cold worker (cold_spend's cap), which all may spend at once; and cold_rate divides what own completions were by the workers that are live now, so it leaps where the others drain or vanish just then. A job longer than the mean also needed room for the mean alone. Ruled out: the sum of the rates, which is at most half of what fells it.

A job goes each time that the room has grown by a step, and only for as long as all schedulers take to look at a worker once, or half of the time in which one falls; what is saved beyond is lost. Steps are the mean work, halved, near the job's cost, so that jobs of many sizes find the same moments. What own completions put on a worker is noted as they come.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -43,8 +43,9 @@
     pub(crate) parts: Parts,
     /// Jobs served so far.
     served: u64,
-    /// Scale of all live workers; mean pace of each kind.
+    /// Scale of all live workers; our completions' work on a unit of it; mean pace of each kind.
     scale: f64,
+    borne: Decayed,
     paces: BTreeMap<u32, f64>,
     doubts: BTreeMap<About, Doubt>,
     reaped: Reaped,
@@ -411,12 +412,10 @@
         self.wakes.insert((self.now + ASK_WAIT, Wake::Asked(id, round)));
         if round <= ASK_ROUNDS {
             for _ in 0..ASKED {
-                let Some(worker) = self.pick(&self.requests[&id], lane) else { break };
-                if !self.parts.take(self.now, Bound::Probes) {
-                    break;
-                }
+                let picked = self.pick(&self.requests[&id], lane);
+                let Some(worker) = picked.filter(|_| self.parts.take(self.now, Bound::Probes)) else { break };
                 self.rng.rand_u64(); // the pick drew from a copy
-                self.cold_spend(worker, PROBE_WORK);
+                self.cold_spend(worker, id, true);
                 let asks = self.workers.get_mut(&worker).zip(self.requests.get_mut(&id));
                 asks.into_iter().for_each(|(w, held)| w.probe(held, id));
                 out.push(Action::Probe { worker });
@@ -426,7 +425,7 @@
         let held = &self.requests[&id];
         let told = |id: &WorkerId| {
             let w = self.workers.get(id).filter(|w| self.takes(w, held, false))?;
-            Some(((w.report.held? - 1.0).max(0.0) / (self.pace(w) * self.cold_part(w)), *id))
+            Some(((w.report.held? - 1.0).max(0.0) / (self.pace(w) * self.cold_part(w, self.now)), *id))
         };
         let least = held.asked.iter().filter_map(told).min_by(|a, b| a.0.total_cmp(&b.0));
         let wait = least.map_or(0.0, |l| l.0 * self.mean_work() / 2.0); // held to have two slots
@@ -439,13 +438,12 @@
 
     /// Whether a request may go to that worker now.
     fn takes(&self, w: &Worker, held: &Held, doubtful: bool) -> bool {
-        let least = || held.job.load.min(self.mean_work());
         w.member.standing == Standing::Live
             && w.full_until <= self.now
             && (doubtful || !self.suspected(w, &held.job))
             && self.in_scope(held, w)
             && self.parts.room(w.in_flight)
-            && self.cold_room(w).is_none_or(|room| room >= least())
+            && self.cold_turn(w, held).is_some()
     }
 
     /// What a worker tells. With a free slot it gets the job that it was probed for.
@@ -524,7 +522,7 @@
         let weight = |w: &Worker| {
             // A hinted job would end too late, or with one more fell a cold one: taken if all drawn are so.
             let recent = w.sign > 0 && self.now - w.sign < self.set.eighth();
-            let (far, part) = (w.member.zone != self.set.zone, self.cold_part(w));
+            let (far, part) = (w.member.zone != self.set.zone, self.cold_part(w, self.now));
             let (pace, size) = (self.pace(w) * part, w.member.scale.max(1.0));
             let fells = part < 1.0 && held.job.load > part * size * self.set.fall_time as f64;
             let wait = if recent { w.wait as f64 } else { l.wait[usize::from(far)] };
@@ -620,6 +618,7 @@
     fn send(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         self.rng.rand_u64(); // the pick drew from a copy
         let far = self.workers.is_far(worker, self.set.zone);
+        self.cold_spend(worker, id, false);
         self.unask(id);
         let Some(held) = self.requests.get_mut(&id) else { return };
         // Four times what starts take now, if that is more: where all wait it is no worker's fault.
@@ -635,8 +634,6 @@
         let l = &mut self.lanes[job.lane];
         l.level += BLEND * (l.in_flight as f64 - l.level);
         l.in_flight += 1;
-        let due = job.due;
-        self.cold_spend(worker, job.load);
         let mut idle = 0;
         if let Some(w) = self.workers.get_mut(&worker) {
             w.in_flight += 1;
@@ -652,7 +649,7 @@
             }
         }
         mark(&mut self.lanes, &self.workers, worker);
-        let (sent, started, stuck) = (self.now, None, false);
+        let (sent, started, stuck, due) = (self.now, None, false, job.due);
         self.attempts.insert((id, attempt), Attempt { worker, job, sent, started, stuck, idle });
         if self.set.tells_start {
             self.wakes.insert((self.now + patience, Wake::Stuck(id, attempt)));
@@ -664,14 +661,11 @@
     // ------------------------------------------------------------- health
 
     fn suspected(&self, w: &Worker, job: &Job) -> bool {
-        if self.doubts.is_empty() {
-            return false;
-        }
         let safe = self.set.classes[job.class.0].effect == Effect::Safe;
-        About::of_worker(&w.member, job).iter().any(|about| {
-            let more = |d: &Doubt| if safe { 0 } else { d.length };
-            self.doubts.get(about).is_some_and(|d| !d.healed && self.now < d.until + more(d))
-        })
+        let more = |d: &Doubt| if safe { 0 } else { d.length };
+        let holds = |d: &Doubt| !d.healed && self.now < d.until + more(d);
+        let holds = |about| self.doubts.get(about).is_some_and(holds);
+        !self.doubts.is_empty() && About::of_worker(&w.member, job).iter().any(holds)
     }
 
     /// A bad outcome, whatever the cause. The worker, or a class or tenant there that is known to
@@ -692,9 +686,7 @@
             if d.streak == 0 || d.worker != worker || !group {
                 d.streak += 1;
             }
-            if d.streak == 1 {
-                d.since = now;
-            }
+            d.since = if d.streak == 1 { now } else { d.since };
             // Turned away again although another tenant's job has started there meanwhile.
             if narrow.is_some() && (d.streak < 2 || sign <= d.since) {
                 continue;
@@ -855,22 +847,21 @@
 
     /// The part of a warm worker's load that a cold one may bear: what the rules promise by its age
     /// (BENCH: evenly from the cold share), times half the multiple that fells it, up to all.
-    fn cold_part(&self, w: &Worker) -> f64 {
-        let age = (self.now - w.member.started) as f64 / self.set.cold_time.max(1) as f64;
-        let warm = w.member.started <= 0 || age >= 1.0;
-        let from = if warm { 1.0 } else { self.set.cold_share.clamp(0.01, 1.0) };
-        ((from + (1.0 - from) * age.max(0.0)) * (0.5 * self.set.fall_multiple).max(1.0)).min(1.0)
+    fn cold_part(&self, w: &Worker, at: Micros) -> f64 {
+        let age = (at - w.member.started) as f64 / self.set.cold_time.max(1) as f64;
+        let from = if w.member.started <= 0 { 1.0 } else { self.set.cold_share.clamp(0.01, 1.0) };
+        ((from + (1.0 - from) * age.clamp(0.0, 1.0)) * (0.5 * self.set.fall_multiple).max(1.0)).min(1.0)
     }
 
     /// Work a microsecond that we may send to a cold worker: what our own completions put on a warm
-    /// worker of its size, or half our part of the limit for its capacity (one core, where the list
-    /// tells none) if that is more, times its part. So the sum over schedulers stays under the limit.
+    /// worker of its size, or half our part of the limit for its capacity (one core, where the list tells
+    /// none) if that is more, times its mean part since our last send. So all together stay under the limit.
     fn cold_rate(&self, w: &Worker) -> f64 {
-        let done: f64 = self.lanes.iter().map(|l| l.done.per_micro(self.now, self.set.span())).sum();
-        let own = done / self.size * self.mean_work() * w.member.scale / self.scale.max(0.001);
+        let own = self.borne.per_micro(self.now, self.set.span()) * w.member.scale;
         let sharers = (self.set.instances.max(1) * self.set.parts.max(1)) as f64;
         let limit = (0.5 * self.set.fall_multiple).min(1.0) * w.member.scale.max(1.0);
-        self.cold_part(w) * self.parts.cold().map_or(own.max(limit / sharers), |part| limit * part)
+        let part = self.cold_part(w, (w.cold_at + self.now) / 2);
+        part * self.parts.cold().map_or(own.max(limit / sharers), |ours| limit * ours)
     }
 
     /// What a cold worker may be sent by now; `None` for a warm one.
@@ -879,12 +870,25 @@
         (w.member.started > 0 && self.now - w.member.started < self.set.cold_time).then(grown)
     }
 
-    fn cold_spend(&mut self, worker: WorkerId, work: f64) {
-        let (cap, now) = (self.mean_work(), self.now);
-        let Some(room) = self.workers.get(&worker).and_then(|w| self.cold_room(w)) else { return };
-        if let Some(w) = self.workers.get_mut(&worker) {
-            (w.cold_tokens, w.cold_at) = (room.min(cap) - work, now);
-        }
+    /// What a job leaves of that, if it may go: each time that it has grown by a step, which is the job's cost or near
+    /// it, and then for as long as all look once at a warm worker, or for half of the time in which one falls. Guards
+    /// against a burst in which all schedulers send at once what each has saved. Its probe is paid already.
+    fn cold_turn(&self, w: &Worker, held: &Held) -> Option<f64> {
+        let Some(room) = self.cold_room(w) else { return Some(0.0) };
+        let paid = if held.asked.contains(&w.member.worker) { PROBE_WORK } else { 0.0 };
+        let (load, mean, room) = (held.job.load, self.mean_work(), room + paid);
+        let step = mean / (mean / load).max(1.0).log2().round().exp2();
+        let looks = mean / w.member.scale.max(1.0) / f64::from(ASKED as u32 * ASK_ROUNDS);
+        let open = (looks * self.set.instances as f64).max(0.5 * self.set.fall_time as f64);
+        let goes = room >= step && room % step <= self.cold_rate(w) * open * step / load;
+        goes.then(|| room % step + step - load - paid)
+    }
+
+    fn cold_spend(&mut self, worker: WorkerId, id: RequestId, probe: bool) {
+        let Some((w, held)) = self.workers.get(&worker).zip(self.requests.get(&id)) else { return };
+        let (room, now) = (self.cold_room(w).unwrap_or(0.0), self.now);
+        let left = self.cold_turn(w, held).filter(|_| !probe).unwrap_or(room - PROBE_WORK);
+        self.workers.get_mut(&worker).into_iter().for_each(|w| (w.cold_tokens, w.cold_at) = (left, now));
     }
 
     // ------------------------------------------------- retries and answers
@@ -996,6 +1000,7 @@
                 let ran = if a.job.hint { a.job.work } else { run };
                 self.work[class] += BLEND * (ran - self.work[class]);
                 self.lanes[lane].done.add(now, span, a.job.size);
+                self.borne.add(now, span, a.job.load / self.scale.max(0.001));
                 self.size += BLEND * (a.job.size - self.size);
                 if !self.set.tells_start {
                     // What it was held here is no sign of what the workers have room for.
