--- a/tests/node/rare.rs
+++ b/tests/node/rare.rs
@@ -361,11 +361,13 @@
 #[rstest]
 fn a_node_that_has_lost_all_servers_goes_on_trying(
     #[values(Lost::Full, Lost::Refusing, Lost::Silent)] lost: Lost,
+    #[values(false, true)] sheds: bool,
 ) {
     const AWAY: Duration = Duration::from_secs(9);
     const ON_END: f64 = 4.0;
     let reserved: Vec<Reserved> = (0..3).map(|_| Reserved::new()).collect();
     let mut config = config(&reserved.iter().map(|r| r.address).collect::<Vec<_>>());
+    config["settings"]["rules"]["shed_after_start"] = json!(sheds);
     config["settings"]["projects"][0]["quota_rps"] = json!(1000.0);
     let mut node = Node::start(&config);
     let back = Arc::new(AtomicBool::new(false));
