--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -1007,7 +1007,7 @@
                 w.fulls += 1;
                 // Where a 'full' may cost the job, fulls in a row double the pause.
                 let row = if self.set.full_may_have_run { (w.fulls - 1).min(5) } else { 0 };
-                w.full_until = now + (backoff << row);
+                w.full_until = now + (backoff << row).min(span as Micros / 4);
                 self.wakes.insert((w.full_until, Wake::Room));
                 let again = w.fulls > 1;
                 self.learn_window(lane, true, false, false);
