--- a/tests/node/orders.rs
+++ b/tests/node/orders.rs
@@ -377,7 +377,7 @@
     let server = Party::new();
     let mut config = config(&[server.address]);
     let (mut old, new) = standing(&mut config);
-    old.signal("-KILL");
+    old.signal(Signal::KILL);
     old.exit();
     let new = new.serving();
     assert_eq!(new.address, old.address);
@@ -433,7 +433,7 @@
     // It waits for the list before it takes clients.
     let mut silent = discovery.accept();
     silent.message();
-    old.signal("-KILL");
+    old.signal(Signal::KILL);
     old.exit();
     let mut client = new.ask("a", "/zone-plan");
     silent.begin();
