--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -870,14 +870,14 @@
         (w.member.started > 0 && self.now - w.member.started < self.set.cold_time).then(grown)
     }
 
-    /// What a job leaves of that, if it may go: each time that it has grown by a step, which is the job's cost or near
-    /// it, and then for as long as all look once at a warm worker, or for half of the time in which one falls. Guards
-    /// against a burst in which all schedulers send at once what each has saved. Its probe is paid already.
+    /// What a job leaves of that, if it may go: each time that it has grown by a step that holds the job, for
+    /// as long as all look once at a warm worker, or half the time in which one falls. Guards against a burst
+    /// in which all schedulers send at once what each has saved. Its probe is paid already.
     fn cold_turn(&self, w: &Worker, held: &Held) -> Option<f64> {
         let Some(room) = self.cold_room(w) else { return Some(0.0) };
         let paid = if held.asked.contains(&w.member.worker) { PROBE_WORK } else { 0.0 };
         let (load, mean, room) = (held.job.load, self.mean_work(), room + paid);
-        let step = mean / (mean / load).max(1.0).log2().round().exp2();
+        let step = mean / (mean / load).max(1.0).log2().floor().exp2();
         let looks = mean / w.member.scale.max(1.0) / f64::from(ASKED as u32 * ASK_ROUNDS);
         let open = (looks * self.set.instances as f64).max(0.5 * self.set.fall_time as f64);
         let goes = room >= step && room % step <= self.cold_rate(w) * open * step / load;
