Count what cold servers may be sent by sizes, not by weights that fall under load

Logs of all nodes: 21 dispatches to it within 1 s, from 19 nodes, at 5 allowed; a probe in cold_rate: what own completions put on a unit of weight came to 4.6 times what a server can do.

Ruled out: bursts of saved turns (20 sends, hardly a node twice), lists that differ, more nodes than told.

A worker's size is the most that it was ever said to weigh.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -43,7 +43,7 @@
     pub(crate) parts: Parts,
     /// Jobs served so far.
     served: u64,
-    /// Scale of all live workers; our completions' work on a unit of it; mean pace of each kind.
+    /// Size of all live workers; our completions' work on a unit of it; mean pace of each kind.
     scale: f64,
     borne: Decayed,
     paces: BTreeMap<u32, f64>,
@@ -1103,7 +1103,7 @@
                 (w.cold_tokens, w.cold_at, w.pace) = (luck, now, None);
                 self.doubts.remove(&About::Worker(member.worker));
             }
-            (w.unlisted, w.member) = (None, member);
+            w.listed(member);
         }
         self.order();
     }
@@ -1130,7 +1130,7 @@
         let silent = |w: &Worker| w.unlisted.is_some_and(|at| now >= at.max(w.sign) + span);
         self.workers.retain(|w| (w.member.standing != Standing::Gone && !silent(w)) || w.in_flight > 0);
         let live = |w: &&Worker| w.member.standing == Standing::Live;
-        self.scale = self.workers.values().filter(live).map(|w| w.member.scale).sum();
+        self.scale = self.workers.values().filter(live).map(|w| w.size).sum();
         for l in &mut self.lanes {
             l.renew(&self.workers, self.set.zone, &mut self.rng);
             l.widen_to(self.set.instances);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -330,6 +330,8 @@
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub member: Member,
+    /// The most that it was ever said to weigh: weights may fall with what a worker holds.
+    pub size: f64,
     /// Our attempts out, and those not known to have started.
     pub in_flight: u32,
     pub unstarted: u32,
@@ -373,6 +375,10 @@
         self.pace = Some(pace + weight * (sample - pace));
         *mean += weight * (sample - *mean);
     }
+    /// It is listed so.
+    pub fn listed(&mut self, member: Member) {
+        (self.unlisted, self.size, self.member) = (None, self.size.max(member.scale), member);
+    }
     /// It is probed for a request.
     pub fn probe(&mut self, held: &mut Held, id: RequestId) {
         self.asked = Some(id);
@@ -383,6 +389,7 @@
     /// One that was just listed.
     pub fn new(member: Member, cold_tokens: f64, now: Micros) -> Self {
         Worker {
+            size: member.scale,
             member,
             in_flight: 0,
             unstarted: 0,
