Let nodes take turns at a cold server by their numbers, and count a class's mean for a hint

Cause: cold_turn took the hint for the work, and its steps followed it, so that some job always found a step; each node began its turns at a random place (roster). Ruled out: the sum of rates, at most half of what fells it.

A job costs its class's mean at least, which is its step; the first turn comes by the node's number among all (`rank`, random where it is not told), from another one on for each server; a turn is open for as long as all together stay within 3/4 N + root of N, no longer half of the fall's time.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -148,6 +148,8 @@
 pub struct Settings {
     /// Schedulers of this tier, this one included.
     pub instances: u32,
+    /// The number of this one among them, from 0, where it is told.
+    pub rank: Option<u32>,
     /// Processes that are this scheduler at present, which share its rations; 0 counts as 1.
     pub parts: u32,
     /// The zone of this scheduler.
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -161,9 +161,8 @@
         if let (Some(_), Some(part)) = (self.set.quota(tenant), self.parts.rate(tenant)) {
             return part; // Departure: what all schedulers agreed on
         } else if let Some(quota) = self.set.quota(tenant) {
-            // Departure: rho is this scheduler's part of the tenant's quota: an even one, or what the
-            // middle one of the tenants asks here of its quota, if more. A busy scheduler is busy with
-            // most of them, and a flood of one tenant is none of them.
+            // Departure: rho is an even part of the tenant's quota, or what the middle one of the tenants
+            // asks here of its own, if more. A busy scheduler is busy with most, a flood is of one.
             let quotas = (0..self.set.tenants.len()).filter_map(|k| Some((k, self.set.quota(k)?)));
             let mut asked: Vec<f64> = quotas.map(|(k, q)| self.asked_rate(k) * 1e6 / q).collect();
             asked.sort_unstable_by(f64::total_cmp);
@@ -255,9 +254,8 @@
         self.wakes.insert((until - work as Micros - wait, Wake::Answer(r.id)));
         self.queue(r.id);
         self.release(lane, out);
-        // Departure: a request beyond its tenant's share waits only that part of the mean wanted
-        // time (of all classes, or a flood would select the heavy ones) which it is worth; a start
-        // tag further ahead is refused at once and takes no tokens. Guards against floods.
+        // Departure: beyond its tenant's share a request waits only that part of the mean wanted time (of all
+        // classes, or a flood would select heavy ones) which it is worth; a later start is refused for free.
         let patience = self.mean_wanted() * self.set.over_share_worth.clamp(0.0, 1.0);
         let l = &mut self.lanes[lane];
         let held = self.requests.get(&r.id).is_some_and(|h| h.queued);
@@ -326,9 +324,8 @@
         l.eligible.remove(&(held.finish, id));
     }
 
-    /// While the window has room, send the eligible request with the least finish tag. With none
-    /// eligible but some held, a sync point moves the clock to the least start tag and refills
-    /// the tenants that hold nothing.
+    /// While the window has room, send the eligible request with the least finish tag. With none eligible but
+    /// some held, a sync point moves the clock to the least start tag and refills tenants that hold none.
     fn release(&mut self, lane: usize, out: &mut Vec<Action>) {
         loop {
             let l = &mut self.lanes[lane];
@@ -395,9 +392,8 @@
         }
     }
 
-    /// Departure: with more schedulers than workers own jobs say nothing of a worker's queue. Before a
-    /// send a few workers are probed, while that costs less than is lost; the first with a free slot
-    /// gets the job. Guards against sends at random to queues that others have filled.
+    /// Departure: with more schedulers than workers own jobs say nothing of a queue. Before a send a few
+    /// workers are probed, while that costs less than is lost; the first with room gets the job.
     fn probes(&self, lane: usize) -> bool {
         let worth = || ASKED as f64 * self.set.probe_price <= self.lost(lane).max(LEAST_LOST);
         let wanted = self.set.probes && self.set.instances as usize > self.lanes[lane].live;
@@ -468,9 +464,9 @@
         }
     }
 
-    /// Departure: a scheduler that carries little sees room in its own window although workers are
-    /// full. Where tenants have quotas it forgives, at a sync point or as a busy period begins, only
-    /// while what an excess request would displace, by the share lost, is worth less. Harm: see docs.
+    /// Departure: one that carries little sees room in its window although workers are full. Where tenants
+    /// have quotas it forgives, at a sync point or as a busy period begins, only while what an excess request
+    /// displaces, by the share lost, is worth less. Harm: see docs.
     fn forgives(&self, lane: usize, tenant: usize) -> bool {
         // One bad sample is no evidence: two in a row are.
         self.set.quota(tenant).is_none() || self.lost(lane) <= self.set.over_share_worth.max(2.0 * BLEND)
@@ -668,9 +664,8 @@
         !self.doubts.is_empty() && About::of_worker(&w.member, job).iter().any(holds)
     }
 
-    /// A bad outcome, whatever the cause. The worker, or a class or tenant there that is known to
-    /// fail alone, is left alone for the longest aim, doubling up to the longest deadline. Three in a
-    /// row at other workers of a zone or kind, without a good one, are a zone out of reach or a kind gone.
+    /// A bad outcome. The worker, or a class or tenant failing alone there, is left alone for the longest
+    /// aim, doubling up to the longest deadline. Three in a row in a zone or kind: that is out of reach.
     fn bad(&mut self, worker: WorkerId, job: &Job, narrow: Option<About>, error: bool) {
         let (now, base, longest) = (self.now, self.set.longest_aim() as Micros, self.set.span() as Micros);
         self.doubts.retain(|_, d| now < d.until + longest);
@@ -702,10 +697,9 @@
         }
     }
 
-    /// Departure: after failures at three workers in turn with none of its key served in between
-    /// (six for a tenant or class, while others were served as often) it is the key that is at
-    /// fault, not the workers. Guards against requests that crash or fail anywhere; a popular key is
-    /// served in between. Harm: a key that met three bad workers in turn waits for the longest aim.
+    /// Departure: after failures at three workers in turn, none of its key served in between (six of a
+    /// tenant or class, others served as often), the key is at fault, not workers. Guards against what may
+    /// fail anywhere. Harm: a key that met three bad workers waits for the longest aim.
     fn blame(&mut self, a: &Attempt) -> bool {
         let (now, base, longest) = (self.now, self.set.longest_aim() as Micros, self.set.span() as Micros);
         let mut found = false;
@@ -736,8 +730,7 @@
         found
     }
 
-    /// For how long requests of this kind are still at fault; the first after it is let through, and
-    /// the others wait for what becomes of it.
+    /// For how long requests of this kind are still at fault; the first after it is let through, others wait.
     fn at_fault(&mut self, job: &Job) -> Option<Micros> {
         for about in About::of_job(job) {
             if let Some(d) = self.doubts.get_mut(&about).filter(|d| d.length > 0 && !d.healed) {
@@ -808,10 +801,9 @@
         }
     }
 
-    /// An attempt has not started in its class's aim (or four usual waits), or is out past the wanted
-    /// time on a worker without another sign: what takes work and gives nothing is suspected,
-    /// whatever the cause, and a safe job that has not started is tried elsewhere, but not soon.
-    /// Departure: it no longer counts in the window, or silent workers would fill that.
+    /// An attempt has not started in its class's aim (or four usual waits), or is out past the wanted time on
+    /// a worker without another sign: that is suspected, whatever the cause, and a safe job that has not
+    /// started is tried elsewhere, not soon. Departure: it leaves the window, which the silent would fill.
     fn stuck(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Action>) {
         let Some(a) = self.attempts.get_mut(&(id, attempt)) else { return };
         let class = &self.set.classes[a.job.class.0];
@@ -864,22 +856,31 @@
         part * self.parts.cold().map_or(own.max(limit / sharers), |ours| limit * ours)
     }
 
+    /// How far each scheduler is with its first job for a worker that starts: turns follow by number.
+    fn cold_phase(&mut self, of: &Member) -> f64 {
+        let number = self.set.rank.map(|k| f64::from(k) / f64::from(self.set.instances.max(1)));
+        number.map_or_else(|| self.rng.rand_float(), |n| (n + of.mark as f64 / 2f64.powi(64)).fract())
+    }
+
     /// What a cold worker may be sent by now; `None` for a warm one.
     fn cold_room(&self, w: &Worker) -> Option<f64> {
         let grown = || w.cold_tokens + self.cold_rate(w) * (self.now - w.cold_at) as f64;
         (w.member.started > 0 && self.now - w.member.started < self.set.cold_time).then(grown)
     }
 
-    /// What a job leaves of that, if it may go: each time that it has grown by a step that holds the job, for
-    /// as long as all look once at a warm worker, or half the time in which one falls. Guards against a burst
-    /// in which all schedulers send at once what each has saved. Its probe is paid already.
+    /// What a job leaves of that, if it may go: whenever it has grown by a job of its class, for as long as
+    /// all look once at a warm worker, or all together stay within 3/4 N + root of N as one falls; the rest
+    /// is chance. Guards against bursts in which all send what each has saved. Its probe is paid.
     fn cold_turn(&self, w: &Worker, held: &Held) -> Option<f64> {
         let Some(room) = self.cold_room(w) else { return Some(0.0) };
         let paid = if held.asked.contains(&w.member.worker) { PROBE_WORK } else { 0.0 };
-        let (load, mean, room) = (held.job.load, self.mean_work(), room + paid);
-        let step = mean / (mean / load).max(1.0).log2().floor().exp2();
-        let looks = mean / w.member.scale.max(1.0) / f64::from(ASKED as u32 * ASK_ROUNDS);
-        let open = (looks * self.set.instances as f64).max(0.5 * self.set.fall_time as f64);
+        let (job, size, fall) = (&held.job, w.member.scale.max(1.0), self.set.fall_time as f64);
+        let (mean, bears) = (self.mean_work() / size, 2.0 * self.cold_part(w, self.now) * fall);
+        // A hint below its class's mean may be a bad guess, but is taken where a worker bears less than that.
+        let step = (job.load * self.work[job.class.0] / job.work).min(job.load.max(bears * size));
+        let (load, room) = (job.load.max(step), room + paid);
+        let looks = mean / f64::from(ASKED as u32 * ASK_ROUNDS) * self.set.instances as f64;
+        let open = looks.max(fall * (0.5 + 2.0 * (mean / bears).sqrt()));
         let goes = room >= step && room % step <= self.cold_rate(w) * open * step / load;
         goes.then(|| room % step + step - load - paid)
     }
@@ -1096,11 +1097,11 @@
                 self.unlist(member.worker);
                 continue;
             }
-            let (now, luck) = (self.now, self.rng.rand_float() * self.mean_work());
-            let new = || Worker::new(member.clone(), luck, now);
+            let (now, turn) = (self.now, self.cold_phase(&member) * self.mean_work());
+            let new = || Worker::new(member.clone(), turn, now);
             let w = self.workers.get_or_insert(member.worker, new);
             if w.member.started != member.started {
-                (w.cold_tokens, w.cold_at, w.pace) = (luck, now, None);
+                (w.cold_tokens, w.cold_at, w.pace) = (turn, now, None);
                 self.doubts.remove(&About::Worker(member.worker));
             }
             w.listed(member);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,6 +19,7 @@
     kinds: Vec<String>,
     over_share_worth: f64,
     projects: Vec<Project>,
+    rank: Option<u32>,
     replicas_of_me: u32,
     report: Reports,
     rules: Rules,
@@ -312,6 +313,7 @@
     };
     Settings {
         instances: setup.instances(),
+        rank: setup.rank,
         parts: 1,
         zone: ZoneId(names.zones.number(&setup.zone)),
         tick: micros(setup.granularity_ms).max(1),
--- a/crates/core/tests/cold.rs
+++ b/crates/core/tests/cold.rs
@@ -24,6 +24,8 @@
     Classes,
     /// Each of its own work, from 0.2 to 1.8 of the mean, which they are told.
     Hinted,
+    /// All of mean work; what they are told of it is a guess, from a quarter of it to four times.
+    Guessed,
 }
 
 /// What each scheduler has had to do before the burst.
@@ -35,6 +37,9 @@
     Light,
     /// The same for 10 s longer, for a warm worker too, which drains at the burst.
     Elsewhere,
+    /// Four requests a second for a warm worker of many cores, from 5 s before the start on; it is loaded, and weighs a
+    /// tenth from the start on.
+    Weighed,
 }
 
 /// How workers warm up.
@@ -44,6 +49,8 @@
     Fast,
     /// From a quarter within 40 s: 7.5 requests in 1 s, and still under 14 as late as ten seconds after.
     Slow,
+    /// From a tenth within 6 s, and it falls within the time of four requests of mean work: the fewest at any site that was seen.
+    Short,
 }
 
 fn set(schedulers: u32, warming: Warming, works: Works) -> Settings {
@@ -57,9 +64,11 @@
     let (cold_share, cold_time, fall_time) = match warming {
         Warming::Fast => (0.1, 10 * S, 2 * S),
         Warming::Slow => (0.25, 40 * S, S),
+        Warming::Short => (0.1, 6 * S, 400 * MS),
     };
     Settings {
         instances: schedulers,
+        rank: Some(0),
         scale_is_capacity: true,
         classes: vec![class(low), class(high)],
         cold_share,
@@ -80,7 +89,7 @@
 enum Step {
     Told,
     Drains,
-    Asked(Micros, usize),
+    Asked(Micros, Option<Micros>, usize),
     Ended(u64, u32),
 }
 
@@ -96,18 +105,27 @@
             Works::Equal => WORK,
             Works::Classes => WORK / 2 + class as Micros * WORK,
             Works::Hinted => rng.rand_range(20..181) as Micros * MS,
+            Works::Guessed => WORK,
         };
-        agenda.insert((at, count), Step::Asked(work, class));
+        let hint = match works {
+            Works::Equal | Works::Classes => None,
+            Works::Hinted => Some(work),
+            // Right in the mean, which is 1.353 times the middle one.
+            Works::Guessed => Some((work as f64 * 4f64.powf(2.0 * rng.rand_float() - 1.0) / 1.353) as Micros),
+        };
+        agenda.insert((at, count), Step::Asked(work, hint, class));
         rng.rand_float()
     };
     let from = match before {
         Before::Quiet => burst,
         Before::Light => TOLD,
         Before::Elsewhere => 0,
+        Before::Weighed => TOLD - 5 * S,
     };
+    let apart = if let Before::Weighed = before { 0.5e6 } else { 10e6 };
     let mut at = from;
     while at < burst {
-        at += (asked(&mut agenda, at) * 10e6) as Micros;
+        at += (asked(&mut agenda, at) * apart) as Micros;
     }
     // Far more than the worker can do, all at once and again.
     for k in 0..16 {
@@ -115,10 +133,13 @@
     }
     agenda.insert((TOLD, 0), Step::Told);
     agenda.insert((burst, 1), Step::Drains);
-    let balancer = Balancer::new(set.clone(), seed);
+    // Some know their numbers, others don't.
+    let rank = set.rank.map(|_| (seed % 1_000) as u32);
+    let balancer = Balancer::new(Settings { rank, ..set.clone() }, seed);
     let mut rig = Rig { balancer, now: 0, wakes: vec![] };
-    let warm = Member { scale: 1.0, ..member(1) };
-    let elsewhere = matches!(before, Before::Elsewhere);
+    let cores = if let Before::Weighed = before { 0.4 * f64::from(set.instances) } else { 1.0 };
+    let warm = Member { scale: cores, ..member(1) };
+    let elsewhere = matches!(before, Before::Elsewhere | Before::Weighed);
     rig.event(Event::Roster(if elsewhere { vec![warm.clone()] } else { vec![] }));
     let (mut sent, mut open, mut number) = (Vec::new(), BTreeMap::new(), 1_000);
     while let Some((&(at, _), _)) = agenda.first_key_value() {
@@ -129,16 +150,17 @@
             actions.extend(match event {
                 Step::Told => {
                     let cold = Member { started: TOLD, scale: 1.0, ..member(0) };
-                    rig.event(Event::RosterChange(vec![cold]))
+                    let busy = matches!(before, Before::Weighed)
+                        .then(|| Member { scale: 0.1 * cores, ..warm.clone() });
+                    rig.event(Event::RosterChange(busy.into_iter().chain([cold]).collect()))
                 }
                 Step::Drains if elsewhere => {
                     let gone = Member { standing: Standing::Draining, ..warm.clone() };
                     rig.event(Event::RosterChange(vec![gone]))
                 }
                 Step::Drains => vec![],
-                Step::Asked(work, class) => {
+                Step::Asked(work, hint, class) => {
                     open.insert(id, work);
-                    let hint = matches!(works, Works::Hinted).then_some(work);
                     rig.event(Event::Request(Request { hint, ..request(id, class) }))
                 }
                 Step::Ended(id, attempt) => rig.ended(id, attempt, Status::Ok),
@@ -185,8 +207,10 @@
 /// No burst fells the worker. What nodes have saved while they were quiet must not come to more than that in its sum.
 fn keeps_up(schedulers: u32, before: Before) {
     let (mut fell, mut all, mut lines) = (0, 0, Vec::new());
-    let kinds = [Works::Equal, Works::Classes, Works::Hinted];
-    for (warming, works) in [Warming::Fast, Warming::Slow].iter().flat_map(|w| kinds.map(|k| (*w, k))) {
+    let kinds = [Works::Equal, Works::Classes, Works::Hinted, Works::Guessed];
+    for (warming, works) in
+        [Warming::Fast, Warming::Slow, Warming::Short].iter().flat_map(|w| kinds.map(|k| (*w, k)))
+    {
         let set = set(schedulers, warming, works);
         let ages = AGES.map(|age| (age * set.fall_time as f64) as Micros);
         // Once it is warm nothing fells it.
@@ -242,3 +266,13 @@
 fn thirty_schedulers_whose_warm_worker_drains_do_not_fell_a_cold_one() {
     keeps_up(30, Before::Elsewhere);
 }
+
+#[test]
+fn twenty_schedulers_whose_warm_worker_weighs_less_under_load_do_not_fell_a_cold_one() {
+    keeps_up(20, Before::Weighed);
+}
+
+#[test]
+fn thirty_schedulers_whose_warm_worker_weighs_less_under_load_do_not_fell_a_cold_one() {
+    keeps_up(30, Before::Weighed);
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -587,6 +587,7 @@
     pub fn settings(&self, node: u32) -> Settings {
         Settings {
             instances: self.nodes,
+            rank: Some(node),
             parts: 1,
             zone: ZoneId(node % self.zones.len() as u32),
             tick: 1_000,
