--- a/crates/sites/tests/plan.rs
+++ b/crates/sites/tests/plan.rs
@@ -17,10 +17,11 @@
     let mut text = String::from("(sites (fleet \"f\") (key \"k\") (home g)");
     for (s, parts) in lends.iter().enumerate() {
         let nodes: String = (0..2).map(|n| format!("(node s{s}n{n} \"10.0.{s}.{n}:1\")")).collect();
-        text += &format!("(site s{s} (bears 100) {nodes})(lend s{s}");
+        text += &format!("(site s{s} (bears 100) {nodes})");
         let classes = CLASSES.iter().zip(parts).filter(|(_, p)| **p > 0);
-        text += &classes.map(|(c, p)| format!("(class {c} (part {p}))")).collect::<String>();
-        text += ")";
+        let lent: String = classes.map(|(c, p)| format!("(class {c} (part {p}))")).collect();
+        // A site that lends nothing is one that the file says nothing of.
+        text += &if lent.is_empty() { lent } else { format!("(lend s{s}{lent})") };
     }
     let kept = CLASSES.iter().zip(least).filter(|(_, p)| *p > 0);
     text += &kept.map(|(c, p)| format!("(least {c} {p})")).collect::<String>();
@@ -184,6 +185,16 @@
     s.demand[class] * part / 100
 }
 
+/// A fleet may have sites that lend nothing at all; the file that says so can be read.
+#[test]
+fn a_site_may_lend_nothing() {
+    let file = file(&[[10, 0, 0], [0, 0, 0], [10, 0, 0]], [0, 0, 0], "");
+    let (host, none) = (standing(Seen::Linked, 100, [20, 0, 0]), standing(Seen::Linked, 100, [0, 0, 0]));
+    let lost = standing(Seen::Lost, 100, [30, 0, 0]);
+    let share = plan(&file, &of(&[host, none, lost]), &worth());
+    assert_eq!((share.rate("s0", "a"), share.hosts.get("s1").map_or(0, |h| h.rate())), (30, 0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..Default::default() })]
     /// From 2 to 20 sites, some of which lend nothing of a class: no host is handed more than it lends or has spare, nor more of a class
