--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -635,8 +635,7 @@
             w.in_flight += 1;
             w.unstarted += 1;
             idle = w.idle.pop().map_or(0, |at| self.now - at);
-            // Guards against idle connections that something in between has dropped unseen, or that
-            // workers reset at the next request: the most recently used is too old already.
+            // Guards against idle connections that are dropped unseen, or reset at the next request.
             let over = 2.0 * self.set.span();
             if idle > 0 && self.reaped.share(self.now, idle, over) > 2.0 * BLEND {
                 out.push(Action::CloseIdle { worker });
@@ -859,7 +858,8 @@
     /// How far each scheduler is with its first job for a worker that starts: turns follow by number.
     fn cold_phase(&mut self, of: &Member) -> f64 {
         let number = self.set.rank.map(|k| f64::from(k) / f64::from(self.set.instances.max(1)));
-        number.map_or_else(|| self.rng.rand_float(), |n| (n + of.mark as f64 / 2f64.powi(64)).fract())
+        let luck = self.rng.rand_float();
+        number.map_or(luck, |n| (n + of.mark as f64 / 2f64.powi(64)).fract())
     }
 
     /// What a cold worker may be sent by now; `None` for a warm one.
