Call an agent again within the drains' time that the settings in force leave

The longest pause is 0.8 of the drains' time, 0.4 s at most as before, a connection to an agent may take a quarter of it, and both follow the settings in force. Tests: in virtual time from 50 ms to 1.5 s, and the real program over a reload, both seen failing before.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -269,6 +269,11 @@
     pub fn longest_deadline(&self) -> Micros {
         self.classes.iter().map(|c| micros(c.deadline_ms)).max().unwrap_or(0)
     }
+    /// Within this nothing new may go to a worker any more that was told to drain; half a second where the settings don't
+    /// say.
+    pub fn drain_grace(&self) -> Micros {
+        or(micros(self.rules.drain_grace_ms), 500_000)
+    }
     /// How long a connection may take to come up; a second where the settings don't say.
     pub fn connect_timeout(&self) -> Micros {
         or(micros(self.allowed.connect_timeout_ms), 1_000_000)
--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -18,17 +18,18 @@
 const WAIT: Duration = Duration::from_millis(2_000);
 /// How long a connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(500);
-/// One to an agent beside the node comes up at once or not at all; with the longest pause after it this stays near the time
-/// within which sends to a leaving server have to stop.
-const AGENT: Duration = Duration::from_millis(100);
+/// One to an agent beside the node comes up at once or not at all: it may take this part of the longest pause.
+const AGENT_PART: u32 = 4;
 /// An answer needs this long to come over the network and into force.
 const TAKEN_IN: Duration = Duration::from_millis(200);
 
 /// Where nothing was asked of discovery itself, the agent is tried again after this, doubled up to the
-/// longest from one call's begin to the next one's. That stays under the time within which sends to a leaving server
-/// have to stop: the agent may know what we don't.
+/// longest from one call's begin to the next one's.
 const FIRST: Duration = Duration::from_millis(50);
 const LONGEST: Duration = Duration::from_millis(400);
+/// The longest is at most this part of the time within which sends to a leaving server have to stop: the agent may know
+/// what we don't.
+const GRACE_PART: f64 = 0.8;
 /// All nodes may lose their watches at once, and a discovery that gets more calls than it can answer in
 /// time answers none. So they spread their calls over this for each node of the fleet.
 const SPREAD: Duration = Duration::from_millis(30);
@@ -62,6 +63,8 @@
 pub struct Backoff {
     rng: oorandom::Rand64,
     nodes: u32,
+    /// The first and the longest pause before an agent that does not answer is tried again.
+    agent: (Duration, Duration),
     /// By then what was missed counts as told. No call that fails puts it off.
     due: Instant,
     /// How often in a row discovery has turned us away.
@@ -74,7 +77,15 @@
     /// One with that seed, of a node that starts now among so many that ask discovery for their lists.
     pub fn new(seed: u64, nodes: u32, now: Instant) -> Self {
         let rng = oorandom::Rand64::new(u128::from(seed));
-        Backoff { rng, nodes: nodes.max(1), due: now + TOLD, busy: 0, nothing: 0 }
+        let agent = (FIRST, LONGEST);
+        Backoff { rng, nodes: nodes.max(1), agent, due: now + TOLD, busy: 0, nothing: 0 }
+    }
+
+    /// So many nodes ask discovery for their lists from now on, and nothing new may go to a leaving server once that time
+    /// is over since this node was told.
+    pub fn keep_to(&mut self, nodes: u32, grace: Duration) {
+        let longest = LONGEST.min(grace.mul_f64(GRACE_PART));
+        (self.nodes, self.agent) = (nodes.max(1), (FIRST.min(longest), longest));
     }
 
     /// Discovery told something at that time, be it that nothing has changed.
@@ -92,7 +103,7 @@
         if self.nodes > 1 {
             CONNECT
         } else {
-            AGENT
+            self.agent.1 / AGENT_PART
         }
     }
 
@@ -116,8 +127,9 @@
         match watched {
             Watched::Nothing => {
                 // Many that wait for discovery to come back must not all call as it does.
-                let longest = spread.min(WIDEST).max(LONGEST.saturating_sub(took)).max(FIRST);
-                let length = (FIRST * (1 << self.nothing.min(8).saturating_sub(1))).min(longest);
+                let (first, longest) = self.agent;
+                let longest = spread.min(WIDEST).max(longest.saturating_sub(took)).max(first);
+                let length = (first * (1 << self.nothing.min(8).saturating_sub(1))).min(longest);
                 soon(length.mul_f64(0.5 + 0.5 * luck))
             }
             Watched::Busy => {
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -436,6 +436,13 @@
         Duration::from_micros(self.inner.borrow().setup.longest_deadline().max(0) as u64)
     }
 
+    /// How many nodes ask discovery for their lists, by the settings in force, and how long after it was told that a server
+    /// leaves a node may send it something new.
+    pub fn told(&self) -> (u32, Duration) {
+        let inner = self.inner.borrow();
+        (inner.setup.askers(), Duration::from_micros(inner.setup.drain_grace().max(0) as u64))
+    }
+
     /// What a client that is turned away may be told of how long to stay away: nothing where clients don't heed it.
     pub fn advice(&self, wait: Duration) -> Option<Duration> {
         let inner = self.inner.borrow();
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -224,6 +224,8 @@
             warn!("the list as last held: {e}");
         }
         let mut told = self.discovery.clone();
+        let (nodes, grace) = self.exchange.told();
+        self.backoff.keep_to(nodes, grace);
         let mut pause = self.backoff.pause(Watched::Never, None, since);
         // By then what was missed counted as told, as the log has it.
         let mut overdue = None;
@@ -260,6 +262,8 @@
             };
             moves = ending == Ending::Moved;
             if !moves {
+                let (nodes, grace) = self.exchange.told();
+                self.backoff.keep_to(nodes, grace);
                 pause = self.backoff.pause(watched, held.begun, now);
                 let due = self.backoff.due();
                 if due <= now && overdue.replace(due) != Some(due) {
--- a/tests/backoff.rs
+++ b/tests/backoff.rs
@@ -325,6 +325,32 @@
     assert!(backoff.connect() == AGENT && Backoff::new(7, 2, now).connect() == CONNECT);
 }
 
+/// Whatever time the settings leave until sends to a leaving server have to stop: an agent that is there again is called
+/// within it, be its connections refused or never up before; and it is as before where they leave more.
+#[test]
+fn an_agent_is_called_again_within_the_grace_of_the_settings() {
+    let zero = Instant::now();
+    for (grace, seed) in
+        [50, 100, 250, 400, 500, 1_500].into_iter().flat_map(|g| (0..40).map(move |s| (g, s)))
+    {
+        let grace = ms(grace);
+        for kind in [Call::Refused, Call::Deaf] {
+            let mut node = Node::new(seed, 1, zero);
+            node.backoff.keep_to(1, grace);
+            for n in 0..40 {
+                let back = node.at;
+                node.call(kind);
+                let apart = node.at - back;
+                assert!(
+                    apart < grace,
+                    "grace {grace:?}, seed {seed}, {kind:?} {n}: called again after {apart:?}"
+                );
+                assert!(apart <= ms(400) && apart >= grace.min(ms(50)) * 2 / 5, "{apart:?}");
+            }
+        }
+    }
+}
+
 /// An agent that does not answer is tried again soon, also one that has just told something.
 #[test]
 fn an_agent_that_does_not_answer_is_tried_again_soon() {
--- a/tests/node/told.rs
+++ b/tests/node/told.rs
@@ -378,3 +378,29 @@
     node.logs("server table 42");
     assert!(back.elapsed() < Duration::from_millis(250), "{:?}", back.elapsed());
 }
+
+/// Other settings say that lists are pushed from now on, and how soon nothing new may go to a server that leaves: the agent, which
+/// resets its calls, is called again within that from then on, as it may know of one.
+#[rstest]
+#[case::short(150)]
+#[case::usual(500)]
+fn an_agent_is_called_again_within_the_grace_of_the_settings_in_force(#[case] grace: u64) {
+    const CALLS: u32 = 12;
+    let (server, discovery) = (Party::new(), Party::new());
+    let mut config = asking(&server, &discovery, 300, 1);
+    let node = Node::start(&config);
+    // Three calls of a node among 300, which lie seconds apart.
+    (0..3).for_each(|_| discovery.accept().reset());
+    config["settings"]["discovery"] = json!("pushed");
+    config["settings"]["rules"]["drain_grace_ms"] = json!(grace);
+    node.replace(&config.to_string());
+    node.hang_up();
+    node.logs("new settings hold");
+    // The pause that has begun may be a long one still.
+    discovery.accept().reset();
+    let begun = Instant::now();
+    (0..CALLS).for_each(|_| discovery.accept().reset());
+    let all = Duration::from_millis(grace) * CALLS;
+    println!("{CALLS} calls in {:?}, of {all:?}", begun.elapsed());
+    assert!(begun.elapsed() < all, "{CALLS} calls in {:?}", begun.elapsed());
+}
