Keep to the descriptors that the system gives where it gives fewer than the settings

Cause: config.rs takes limits.sockets as it is written; with fewer by the system, clients fill them all, and the backend's socket has none (NoSockets, a failed connection, three times). Forced now: 200 silent clients, 50, 60 or 90 descriptors of 1,024 told; 503 each time before.

The soft limit of the process bounds limits.sockets, which one line in the log tells. Below the least that a configuration may say it serves as far as it can, as before. Ruled out: eviction at a failed accept, which frees a descriptor for the next that waits, a client again.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -32,8 +32,10 @@
     filed: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
-    /// What it may use.
+    /// What it may use, as far as the system lets it.
     pub limits: Limits,
+    /// The descriptors that the system lets it have, where these are fewer than the file says.
+    pub fewer: Option<usize>,
     /// The list of backend servers as last held.
     pub known: Listing,
     /// What stands for the settings as they are written, in the order of their keys.
@@ -162,6 +164,10 @@
         if file.limits.sockets < OWN_SOCKETS + 16 {
             return Err(ConfigError::FewSockets(file.limits.sockets));
         }
+        // Guards what is kept for servers and discovery against clients that take all the descriptors there are.
+        let most = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let fewer = most.map(|n| n as usize).filter(|n| *n < file.limits.sockets);
+        let limits = Limits { sockets: fewer.unwrap_or(file.limits.sockets), ..file.limits };
         Ok(Config {
             name: variable("ROUTER_NAME").unwrap_or(file.name),
             listen,
@@ -169,7 +175,8 @@
             mgmt,
             filed,
             seed,
-            limits: file.limits,
+            limits,
+            fewer,
             known: file.known,
             settings,
             setup: file.settings,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -352,6 +352,9 @@
             }
         }
     });
+    if let Some(most) = config.fewer {
+        warn!("the system allows {most} descriptors, fewer than 'limits.sockets': the node keeps to these");
+    }
     info!("{} serves on {address}", config.name);
     let takes_part = fleet.clone().map(|fleet| spawn_local(fleet.follow()));
     let takes_part = async {
--- a/tests/node/rare.rs
+++ b/tests/node/rare.rs
@@ -282,6 +282,42 @@
     assert_eq!((answer.status(), answer.body.as_str()), (200, "1"));
 }
 
+/// The system gives the node fewer descriptors than the configuration says, and silent clients hold as many as they can get: the
+/// node keeps to what there is, so that each job has a connection to its server.
+#[rstest]
+fn clients_leave_servers_the_descriptors_that_the_system_gives(#[values(50, 60, 90)] most: usize) {
+    let server = Party::new();
+    let mut config = config(&[server.address]);
+    config["limits"]["sockets"] = json!(1024);
+    let words = format!("ulimit -n {most}; exec \"$0\" serve -v");
+    let node = Node::start_as(&["sh", "-c", &words, PROGRAM], &config);
+    server.attended(|mut peer| {
+        let id = peer.id();
+        peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        peer.send(&format!("{}\n", json!({"id": id, "state": "done", "result": "1"})));
+    });
+    // One that has handed in a job before is spared.
+    let mut client = node.ask("before", "/actuator-cmd");
+    assert_eq!(client.message().status(), 200);
+    // All of them are accepted, and most are made to go again.
+    let mut crowd: Vec<Peer> = (0..200).map(|_| node.client()).collect();
+    let left = |crowd: &mut Vec<Peer>| crowd.retain_mut(|peer| peer.hears_nothing(ms(1)));
+    while crowd.len() >= most {
+        left(&mut crowd);
+    }
+    for n in 0..8 {
+        client.send(&job(&n.to_string(), "/actuator-cmd", "5000m", ""));
+        let answer = client.message();
+        assert_eq!(
+            (answer.status(), answer.body.as_str()),
+            (200, "1"),
+            "{n}, with {} of the crowd",
+            crowd.len()
+        );
+        assert!(node.descriptors() <= most);
+    }
+}
+
 /// What discovery does while a node starts.
 #[derive(Clone, Copy, Debug)]
 enum Discovery {
