--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -13,7 +13,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::{Duration, Instant};
+use std::sync::LazyLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Nothing that works takes this long.
 pub const LONG: Duration = Duration::from_secs(10);
@@ -63,10 +64,19 @@
     command
 }
 
-/// Where processes find each other, by a path that may not be long.
+/// Where processes find each other, by a path that may not be long. This run's own: a name that an earlier one has left
+/// behind would be taken for a new process's.
 pub fn meeting_place() -> PathBuf {
-    let usual = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    Some(usual).filter(|path| path.as_os_str().len() < 60).unwrap_or_else(std::env::temp_dir)
+    static PLACE: LazyLock<PathBuf> = LazyLock::new(|| {
+        let usual = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let usual = Some(usual).filter(|path| path.as_os_str().len() < 40);
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let name = format!("{}-{:x}", std::process::id(), since.as_nanos() as u32);
+        let place = usual.unwrap_or_else(std::env::temp_dir).join(name);
+        std::fs::create_dir_all(&place).unwrap();
+        place
+    });
+    PLACE.clone()
 }
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_shorepath");
