Take descriptors from a running node in the test of slow requests that moved

what_has_moved_by_then_does_not_give_way reaches a node that is out of descriptors by starting it under ulimit -n 32 with 1,024 told. The limit is lowered once the node runs now, so that it is out of them as before; nothing of what is asserted has changed.

--- a/tests/node/gone.rs
+++ b/tests/node/gone.rs
@@ -398,10 +398,9 @@
 #[case::one_byte(1)]
 fn what_has_moved_by_then_does_not_give_way(#[case] more: usize) {
     let server = Party::new();
-    let node = Node::start_as(
-        &["sh", "-c", "ulimit -n 32; exec \"$0\" serve -v", PROGRAM],
-        &config(&[server.address]),
-    );
+    let node = Node::start(&config(&[server.address]));
+    // After the start, or it would keep to that and never be out of them.
+    node.may_have_descriptors(32);
     let mut first = node.client();
     first.send(&patient("first", ""));
     let mut backend = server.accept();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,7 +5,7 @@
 mod addresses;
 
 pub use rustix::process::Signal;
-use rustix::process::{kill_process, Pid};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -249,6 +249,12 @@
         assert!(Command::new("prlimit").args(lifts).status().unwrap().success());
     }
 
+    /// The system gives it no more descriptors than that from now on.
+    pub fn may_have_descriptors(&self, most: u64) {
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit).unwrap();
+    }
+
     /// Sent from here, and there as this returns: a program that sends it may be late, and times are counted from now.
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
