Hold a turn at a cold server open by all five looks of a request, not by four

Cause: in that case the first bound of cold_turn holds, the time in which all look once at a warm worker. It was reckoned with the four workers that are probed; a request draws three, and two are probed at a time. Ruled out: the second bound, which is less there.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -879,7 +879,7 @@
         // A hint below its class's mean may be a bad guess, but is taken where a worker bears less than that.
         let step = (job.load * self.work[job.class.0] / job.work).min(job.load.max(bears * size));
         let (load, room) = (job.load.max(step), room + paid);
-        let looks = mean / f64::from(ASKED as u32 * ASK_ROUNDS) * self.set.instances as f64;
+        let looks = mean / (CANDIDATES + ASKED) as f64 * self.set.instances as f64;
         let open = looks.max(fall * (0.5 + 2.0 * (mean / bears).sqrt()));
         let goes = room >= step && room % step <= self.cold_rate(w) * open * step / load;
         goes.then(|| room % step + step - load - paid)
