--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -844,9 +844,9 @@
         ((from + (1.0 - from) * age.clamp(0.0, 1.0)) * (0.5 * self.set.fall_multiple).max(1.0)).min(1.0)
     }
 
-    /// Work a microsecond that we may send to a cold worker: what our completions put on a warm one of its size,
-    /// or half our part of the limit (one core's where none is told) if that is more, times its mean part since
-    /// our last send, less a tenth, as work is known by means alone. So all together stay under the limit.
+    /// Work a microsecond that we may send to a cold worker: what our completions put on a warm one of its
+    /// size, or half our part of the limit (one core's where none is told) if that is more, times its mean part
+    /// since our last send, less a tenth, as work is known by means. So all together stay under the limit.
     fn cold_rate(&self, w: &Worker) -> f64 {
         let own = self.borne.per_micro(self.now, self.set.span()) * w.member.scale;
         let sharers = (self.set.instances.max(1) * self.set.parts.max(1)) as f64;
