--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -845,8 +845,8 @@
     }
 
     /// Work a microsecond that we may send to a cold worker: what our completions put on a warm one of its
-    /// size, or half our part of the limit (one core's where none is told) if that is more, times its mean part
-    /// since our last send, less a tenth, as work is known by means. So all together stay under the limit.
+    /// size, or half our part of the limit (one core's where none is told) if that is more, times its mean
+    /// part since our last send, less a tenth, as work is known by means. So all stay under the limit.
     fn cold_rate(&self, w: &Worker) -> f64 {
         let own = self.borne.per_micro(self.now, self.set.span()) * w.member.scale;
         let sharers = (self.set.instances.max(1) * self.set.parts.max(1)) as f64;
