Count all that connections hold of messages against the memory limit

Cause: the limit of a quarter of memory_mb counted the lengths of bodies alone. Read buffers of 80 KiB that stay with a connection while data waits in them, the spare room of the bodies' buffers (80 KiB each), heads of jobs and answers that clients don't take counted against nothing, and connections are limited by descriptors only.

Change: net::connection::Connection takes the place of Framed and of the pool's methods: whatever it holds while it waits is in a buffer of about its size and reserved in the pool; bodies grow with their length and are reserved whole. Data behind a request without an answer may fill half of the limit, requests three quarters, the rest all. A client beyond that is answered 503, or 502 if its job may have run, and closed as overrun. Backend, discovery and operators' connections use the same type.

Why it works: no buffer outlives a read or write without a reservation, so the sum is bounded whatever the clients send.

Tests: memory::* (new) watch the private memory of a node of 32 MB with 600 clients.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,6 +3,7 @@
 
 use super::close_reason::{CloseReason, Side};
 use super::codec::{Answer, FrontendCodec, Incoming, ReadError, Request};
+use super::connection::{Connection, Peer};
 use super::deadlines::Deadlines;
 use super::frontend::Frontend;
 use super::pool::Pool;
@@ -13,10 +14,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
 /// Maximum number of connections. A further one closes the oldest, so that callers without a complete request can't
@@ -28,8 +27,8 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Memory for the bodies of all requests, in bytes. The bodies are ignored.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Memory for the requests and responses of all connections, in bytes.
+const MEMORY_BYTES: usize = 256 * 1024;
 
 /// Serves the operators' requests, one per connection.
 #[derive(Debug)]
@@ -52,7 +51,7 @@
             deadlines,
             sites,
             // A separate pool: message bodies of clients must not use up the memory for an operator's request.
-            pool: Rc::new(Pool::new(MAX_BODY_BYTES)),
+            pool: Rc::new(Pool::new(MEMORY_BYTES)),
             open: RefCell::default(),
             next_number: Cell::new(0),
         })
@@ -86,7 +85,7 @@
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
             let codec = FrontendCodec::new(&admin.pool);
-            let mut connection = admin.pool.framed::<Answer, _>(stream, codec);
+            let mut connection = Connection::new::<Answer>(stream, codec, Peer::Client, &admin.pool);
             let close_reason = tokio::select! {
                 biased;
                 close_reason = admin.handle_request(&mut connection) => close_reason,
@@ -94,22 +93,22 @@
                 () = admin.deadlines.after(REQUEST_TIMEOUT) => CloseReason::TooSlow,
             };
             admin.open.borrow_mut().remove(&number);
-            admin.pool.release(connection);
+            drop(connection);
             close_reason.log(Side::AdminServer, peer, u64::from(close_reason == CloseReason::LastMessage));
         });
     }
 
     /// Responds to the one request of a connection and returns why the connection has to be closed.
-    async fn handle_request(&self, connection: &mut Framed<TcpStream, FrontendCodec>) -> CloseReason {
+    async fn handle_request(&self, connection: &mut Connection<FrontendCodec>) -> CloseReason {
         let (response, close_reason) = loop {
-            match self.pool.next(connection).await {
+            match connection.next().await {
                 None => return CloseReason::PeerClosed,
                 Some(Err(ReadError::Io(_))) => return CloseReason::PeerBroke,
                 Some(Err(ReadError::Malformed { status, reason })) => {
                     break (Answer::text(status, reason, true), CloseReason::Malformed)
                 }
                 Some(Ok(Incoming::ExpectsContinue)) => {
-                    if self.pool.send(connection, Answer::Continue).await.is_err() {
+                    if connection.send(Answer::Continue).await.is_err() {
                         return CloseReason::PeerBroke;
                     }
                 }
@@ -118,14 +117,15 @@
                 }
             }
         };
-        if self.pool.send(connection, response).await.is_err() {
+        if connection.send(response).await.is_err() {
             return CloseReason::PeerBroke;
         }
         // Closing a socket with unread data resets the connection, and the response might be lost.
-        if connection.get_mut().shutdown().await.is_ok() {
+        if connection.shut_down().await.is_ok() {
             let discard_rest = async {
-                while connection.get_ref().readable().await.is_ok() {
-                    match self.pool.discard(connection) {
+                loop {
+                    connection.readable().await;
+                    match connection.discard() {
                         Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
                         Ok(n) if n > 0 => {}
                         _ => return,
--- a/src/net/backend/attempt.rs
+++ b/src/net/backend/attempt.rs
@@ -101,7 +101,7 @@
         drop(dispatch);
         let tail = async {
             loop {
-                match self.pool.next(connection).await {
+                match connection.next().await {
                     Some(Ok(ResponsePart::Line(_) | ResponsePart::Data(_))) => {}
                     Some(Ok(ResponsePart::End { reusable: true })) => break None,
                     Some(Ok(ResponsePart::End { reusable: false })) => break Some(CloseReason::LastMessage),
@@ -155,7 +155,7 @@
         tokio::select! {
             biased;
             _ = &mut dispatch.cancelled => Err(AttemptEnd::closing(AttemptStatus::Cancelled, CloseReason::Cancelled)),
-            sent = self.pool.send(connection, request) => sent.map_err(|e| {
+            sent = connection.send(request) => sent.map_err(|e| {
                 debug!("could not write a request to a backend server: {e}");
                 AttemptEnd::closing(AttemptStatus::ConnectFailed, CloseReason::PeerBroke)
             }),
@@ -177,7 +177,7 @@
             AttemptEnd::closing(AttemptStatus::Error, CloseReason::Malformed)
         };
         loop {
-            match self.pool.next(connection).await {
+            match connection.next().await {
                 Some(Ok(ResponsePart::Head { status: 200, .. } | ResponsePart::Data(_))) => {}
                 Some(Ok(ResponsePart::Head { status, fields })) => {
                     debug!("a backend server answered request {} with status {status}", job.id);
--- a/src/net/backend/connection.rs
+++ b/src/net/backend/connection.rs
@@ -4,6 +4,7 @@
 use super::Backend;
 use crate::net::close_reason::CloseReason;
 use crate::net::codec::{ClientCodec, OutgoingRequest, ReadError, ResponsePart, MAX_BODY_BYTES};
+use crate::net::connection::Peer;
 use crate::net::exchange::{DispatchId, OpenWatch};
 use crate::net::{poll_sockets, Job};
 use shorepath_scheduler::{AttemptStatus, EndpointId, Idempotency};
@@ -13,10 +14,9 @@
 use std::time::Instant;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio_util::codec::Framed;
 use tracing::debug;
 
-pub(super) type Connection = Framed<TcpStream, ClientCodec>;
+pub(super) type Connection = crate::net::connection::Connection<ClientCodec>;
 
 /// The backend server of a connection, with the address to which it was made.
 #[derive(Debug)]
@@ -105,7 +105,8 @@
         let endpoint = target.endpoint;
         let mut connection = match self.connect(&mut target, &mut task).await {
             Ok(stream) => {
-                self.pool.framed::<OutgoingRequest, _>(stream, ClientCodec::new(&self.pool, MAX_BODY_BYTES))
+                let codec = ClientCodec::new(&self.pool, MAX_BODY_BYTES);
+                Connection::new::<OutgoingRequest>(stream, codec, Peer::Server, &self.pool)
             }
             Err((status, close_reason)) => {
                 self.task_ended(endpoint, &task, status);
@@ -165,7 +166,6 @@
                 }
             }
         };
-        self.pool.release(connection);
         (close_reason, messages, unstarted)
     }
 
@@ -219,10 +219,10 @@
         let round_trip = async {
             let fields = format!("Host: {address}\r\n");
             let request = OutgoingRequest { method: "GET", target: "/_load", fields, body: None };
-            self.pool.send(connection, request).await.map_err(|_| CloseReason::PeerBroke)?;
+            connection.send(request).await.map_err(|_| CloseReason::PeerBroke)?;
             let (mut status, mut values) = (AttemptStatus::Error, Vec::new());
             loop {
-                match self.pool.next(connection).await {
+                match connection.next().await {
                     Some(Ok(ResponsePart::Head { status: 200, .. })) => status = AttemptStatus::Ok,
                     Some(Ok(ResponsePart::Head { status: 503, .. })) => status = AttemptStatus::Overloaded,
                     Some(Ok(ResponsePart::Head { .. } | ResponsePart::Data(_))) => {}
@@ -261,12 +261,12 @@
         let close_reason = tokio::select! {
             biased;
             // Polled first, so that a closed connection is never used again.
-            part = self.pool.next(connection) => match part {
+            part = connection.next() => match part {
                 None | Some(Err(ReadError::Io(_))) => CloseReason::PeerClosed,
                 Some(_) => CloseReason::Malformed,
             },
             command = commands.recv() => match command {
-                Some(ConnectionCommand::Run(task)) if connection.read_buffer().is_empty() => return Ok(task),
+                Some(ConnectionCommand::Run(task)) if !connection.has_unread_data() => return Ok(task),
                 // Guards against part of a second answer, which would be read as the start of the answer to the next job.
                 Some(ConnectionCommand::Run(task)) => return Err((CloseReason::Malformed, Some(task))),
                 Some(ConnectionCommand::Close(close_reason)) => close_reason,
--- a/src/net/close_reason.rs
+++ b/src/net/close_reason.rs
@@ -22,6 +22,8 @@
     LastMessage,
     /// The peer sent a malformed message.
     Malformed,
+    /// The peer sent more behind a request than can be held until its answer.
+    Overrun,
     /// A message was not fully received or sent in time.
     TooSlow,
     /// The peer refused the connection.
@@ -58,6 +60,7 @@
             CloseReason::Drained => "drained",
             CloseReason::LastMessage => "last-message",
             CloseReason::Malformed => "malformed",
+            CloseReason::Overrun => "overrun",
             CloseReason::TooSlow => "too-slow",
             CloseReason::Refused => "refused",
             CloseReason::ConnectTimeout => "connect-timeout",
--- a/src/net/codec/framing.rs
+++ b/src/net/codec/framing.rs
@@ -24,6 +24,12 @@
     },
 }
 
+impl ReadError {
+    /// The node has no memory for the message. A client may send its request again.
+    pub const NO_MEMORY: ReadError =
+        ReadError::Malformed { status: 503, reason: "no memory is left for the message" };
+}
+
 pub(super) fn malformed(status: u16, reason: &'static str) -> ReadError {
     ReadError::Malformed { status, reason }
 }
--- a/src/net/codec/server.rs
+++ b/src/net/codec/server.rs
@@ -24,6 +24,8 @@
     pub fields: Fields,
     /// Whether the client wants to send further requests on the connection.
     pub keep_alive: bool,
+    /// Size of the head, in bytes.
+    pub head_bytes: usize,
     /// The body; empty if there is none.
     pub body: Buffer,
     /// Time at which its last byte was received.
@@ -151,8 +153,12 @@
         };
         let (method, target) = (head.method.unwrap_or("").to_string(), head.path.unwrap_or("").to_string());
         src.advance(n);
-        let (body, arrived) = (self.pool.buffer(), Instant::now());
-        Ok(Some((Request { method, target, fields, keep_alive, body, arrived }, framing)))
+        let (mut body, arrived) = (self.pool.buffer(), Instant::now());
+        // A request without a body, such as a health check, takes no memory unless it becomes a job.
+        if framing != Framing::Length(0) {
+            body.count_request_head(n).map_err(|_| ReadError::NO_MEMORY)?;
+        }
+        Ok(Some((Request { method, target, fields, keep_alive, head_bytes: n, body, arrived }, framing)))
     }
 }
 
@@ -177,8 +183,7 @@
                     return Err(malformed(413, "a body that is too large"))
                 }
                 BodyStep::Data(n) => {
-                    let out_of_memory = |_| malformed(503, "no memory is left for the request");
-                    request.body.append_request(&src[..n]).map_err(out_of_memory)?;
+                    request.body.append_request(&src[..n]).map_err(|_| ReadError::NO_MEMORY)?;
                     framing.consume(src, n);
                 }
                 // A client that has started to send the body needs no `100 Continue`.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -63,8 +63,8 @@
         let processes = processes.max(1) as usize;
         (self.sockets.saturating_sub(RESERVED_SOCKETS * processes) / (2 * processes)).max(4)
     }
-    /// Returns how many bytes all buffered messages together may take. This is a quarter of the memory: each message may be
-    /// copied to a second buffer to be written, and half of the memory is for the rest of the program.
+    /// Returns how many bytes all messages together may take that the node holds, complete or in part. This is a quarter of the
+    /// memory: lists of discovery may take another, and half of the memory is for the rest of the program.
     pub fn message_bytes(&self) -> usize {
         self.memory_mb * 1024 * 1024 / 4
     }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -406,6 +406,19 @@
         }
     }
 
+    /// Gives up a request whose client is still connected, and cancels its attempts. Returns the final answer, or `None` if there
+    /// was one before.
+    fn withdraw(&self, id: RequestId) -> Option<ResponseOutcome> {
+        let request = self.inner.borrow_mut().open.remove(&id)?;
+        let (outcome, outcome_name) = match request.attempts {
+            0 => (ResponseOutcome::Shed { retry_after: None }, "denied"),
+            _ => (ResponseOutcome::Failed, "failed"),
+        };
+        self.inner.borrow().audit_answer(&request, outcome_name);
+        self.handle_event(Event::ClientLeft(id));
+        Some(outcome)
+    }
+
     fn handle_event(&self, event: Event) {
         let mut inner = self.inner.borrow_mut();
         let before = inner.wake_at;
--- a/src/net/exchange/ticket.rs
+++ b/src/net/exchange/ticket.rs
@@ -40,6 +40,15 @@
             }
         }
     }
+
+    /// Gives the request up and returns its final answer: shed if no attempt of it was made, and failed if it may have run.
+    pub fn withdraw(&mut self) -> ResponseOutcome {
+        match self.exchange.withdraw(self.id) {
+            Some(outcome) => outcome,
+            // The answer was given before and has not been received yet.
+            None => self.answer_receiver.try_recv().unwrap_or(ResponseOutcome::Failed),
+        }
+    }
 }
 
 impl<P> Drop for Ticket<P> {
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -5,8 +5,8 @@
 use super::{Frontend, ShutdownStage, State};
 use crate::net::close_reason::{CloseReason, Side};
 use crate::net::codec::{Answer, FrontendCodec, Incoming, ReadError, Request};
+use crate::net::connection::{Peer, ReadAhead};
 use crate::net::exchange::{ResponseOutcome, Ticket};
-use crate::net::pool::ReadAhead;
 use crate::net::sites::RequestAdmission;
 use crate::net::{poll_sockets, Job};
 use futures_util::FutureExt;
@@ -14,9 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
 
 /// During a drain, an idle connection stays open for at least this long after it became idle.
 const DRAIN_MIN_IDLE: Duration = Duration::from_millis(400);
@@ -38,7 +36,7 @@
 /// How long a connection may be idle between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-pub(super) type Connection = Framed<TcpStream, FrontendCodec>;
+pub(super) type Connection = crate::net::connection::Connection<FrontendCodec>;
 
 /// The answer to a request, or the source of the answer.
 pub(super) enum Reply {
@@ -47,6 +45,19 @@
     Pending(Ticket<Job>, Option<RequestAdmission>),
     /// No answer: the job was not submitted because its client has disconnected.
     ClientDisconnected,
+    /// The job was not submitted because its client sent more behind it than can be held.
+    Overrun,
+}
+
+/// An item that was read while a request had no answer yet.
+type NextItem = Option<Result<Incoming, ReadError>>;
+
+/// Why the wait for the answer to a request has ended.
+enum PendingEnd {
+    Answered(ResponseOutcome),
+    ClientDisconnected,
+    /// The client sent more behind the request than can be held.
+    Overrun,
 }
 
 impl Frontend {
@@ -57,14 +68,14 @@
         tokio::task::spawn_local(async move {
             // Without this option answers are only delayed.
             let _ = stream.set_nodelay(true);
-            let mut connection =
-                frontend.pool.framed::<Answer, _>(stream, FrontendCodec::new(&frontend.pool));
+            let codec = FrontendCodec::new(&frontend.pool);
+            let mut connection = Connection::new::<Answer>(stream, codec, Peer::Client, &frontend.pool);
             let mut messages = 0;
             let close_reason = frontend.serve_connection(&mut connection, &mut messages).await;
             if !matches!(close_reason, CloseReason::PeerClosed | CloseReason::PeerBroke) {
                 frontend.linger(&mut connection, close_reason == CloseReason::Evicted).await;
             }
-            frontend.pool.release(connection);
+            drop(connection);
             close_reason.log(Side::Frontend, peer, messages);
             frontend.open_connections.set(frontend.open_connections.get() - 1);
             frontend.connection_changed.notify_one();
@@ -74,10 +85,9 @@
     /// Shuts down the write side and discards input for a moment: closing a socket with unread input resets the connection, and
     /// the client could lose the answer that was just sent. An evicted connection only discards what has arrived.
     pub(super) async fn linger(&self, connection: &mut Connection, is_evicted: bool) {
-        if connection.get_mut().shutdown().await.is_err() {
+        if connection.shut_down().await.is_err() {
             return;
         }
-        connection.read_buffer_mut().clear();
         if !is_evicted {
             let (queue_entry, mut closed) = self.enter_eviction_queue(EvictionRank::NoRequest);
             tokio::select! {
@@ -87,14 +97,14 @@
             }
             self.leave_eviction_queue(queue_entry);
         }
-        let _ = self.pool.discard(connection);
+        let _ = connection.discard();
     }
 
     /// Reads and discards input until the client closes the connection.
     pub(super) async fn discard_input(&self, connection: &Connection) {
         loop {
-            let _ = connection.get_ref().readable().await;
-            match self.pool.discard(connection) {
+            connection.readable().await;
+            match connection.discard() {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Ok(n) if n > 0 => self.deadlines.after(DISCARD_PAUSE).await,
                 _ => return,
@@ -109,6 +119,7 @@
         messages: &mut u64,
     ) -> CloseReason {
         let (mut next, mut opened, mut has_served) = (None, Some(Instant::now()), false);
+        let mut is_overrun = false;
         loop {
             let item = match next.take() {
                 Some(item) => Ok(item),
@@ -124,8 +135,7 @@
                     return close_reason;
                 }
                 Ok(None) | Ok(Some(Err(ReadError::Io(_)))) => {
-                    let is_incomplete =
-                        connection.codec().is_partial() || !connection.read_buffer().is_empty();
+                    let is_incomplete = connection.codec().is_partial() || connection.has_unread_data();
                     return if is_incomplete { CloseReason::PeerBroke } else { CloseReason::PeerClosed };
                 }
                 Ok(Some(Err(ReadError::Malformed { status, reason }))) => {
@@ -146,83 +156,107 @@
             let answer = match self.handle_request(connection, request).await {
                 Reply::Immediate(answer) => answer,
                 Reply::ClientDisconnected => return CloseReason::PeerBroke,
+                Reply::Overrun => {
+                    is_overrun = true;
+                    Answer::text(503, "too much was sent behind the request", true)
+                }
                 Reply::Pending(mut ticket, admission) => {
                     has_served = true;
-                    let outcome = {
-                        let outcome = std::pin::pin!(ticket.outcome());
-                        let mut outcome = outcome.fuse();
-                        loop {
-                            tokio::select! {
-                                biased;
-                                outcome = &mut outcome => break Some(outcome),
-                                item = self.next_item_while_pending(connection, next.is_some()) => match item {
-                                    // The client has disconnected. Dropping the ticket abandons the request.
-                                    None | Some(Err(ReadError::Io(_))) => break None,
-                                    // The next request of the client arrived early.
-                                    item => next = Some(item),
-                                },
-                            }
+                    let outcome = match self.wait_for_outcome(connection, &mut ticket, &mut next).await {
+                        PendingEnd::Answered(outcome) => outcome,
+                        // Dropping the ticket abandons the request.
+                        PendingEnd::ClientDisconnected => return CloseReason::PeerBroke,
+                        PendingEnd::Overrun => {
+                            is_overrun = true;
+                            ticket.withdraw()
                         }
                     };
-                    match outcome {
-                        Some(outcome) => {
-                            let extra_field =
-                                admission.as_ref().and_then(|admission| admission.response_field(&outcome));
-                            let mut pending_answer = None;
-                            if let Some(admission) = admission.as_ref() {
-                                pending_answer = match &outcome {
-                                    ResponseOutcome::Served(body) => admission.store_answer(200, body),
-                                    ResponseOutcome::Failed => admission.store_answer(502, b"failed\n"),
-                                    ResponseOutcome::Shed { .. } | ResponseOutcome::Rejected { .. } => None,
-                                };
-                            }
-                            let rejection = admission.and_then(|admission| admission.finish(&outcome));
-                            if let Some(pending_answer) = pending_answer {
-                                pending_answer.stored(&self.deadlines, ticket.deadline()).await;
-                            }
-                            answer_for(outcome, rejection, extra_field, |wait| {
-                                self.exchange.capped_retry_after(wait)
-                            })
-                        }
-                        None => return CloseReason::PeerBroke,
-                    }
+                    self.answer_outcome(outcome, admission, ticket.deadline()).await
                 }
             };
             let closes_after_answer = self.state.borrow().closes_after_answer();
-            if closes_after_answer && next.is_none() && connection.read_buffer().is_empty() {
+            if closes_after_answer && next.is_none() && !connection.has_unread_data() {
                 // Guards a request that has just arrived, as in [`Frontend::next_item`].
                 poll_sockets().await;
-                next = self.pool.next(connection).now_or_never();
+                next = connection.next().now_or_never();
             }
             // A request that has arrived is still served.
-            let has_next = next.is_some() || !connection.read_buffer().is_empty();
+            let has_next = next.is_some() || connection.has_unread_data();
             let is_closing = self.state.borrow().stage == ShutdownStage::Closing && !has_next;
             // `Connection: close` in the answer makes the client reconnect, to another node.
-            let is_last = !keep_alive || (closes_after_answer && !has_next) || answer.is_last();
+            let is_last = !keep_alive || is_overrun || (closes_after_answer && !has_next) || answer.is_last();
             if let Err(close_reason) = self.write(connection, close_if(answer, is_last)).await {
                 return close_reason;
             }
             if is_last {
-                return if is_closing { CloseReason::Shutdown } else { CloseReason::LastMessage };
+                return match (is_overrun, is_closing) {
+                    (true, _) => CloseReason::Overrun,
+                    (false, true) => CloseReason::Shutdown,
+                    (false, false) => CloseReason::LastMessage,
+                };
             }
         }
     }
 
-    /// Returns the next item that arrives while an answer is pending. With `has_next`, an item is waiting already and only the end
-    /// of the connection is returned, as `None`.
-    pub(super) async fn next_item_while_pending(
+    /// Waits for the answer to a request, and puts an item that the client sends meanwhile into `next`.
+    async fn wait_for_outcome(
+        &self,
+        connection: &mut Connection,
+        ticket: &mut Ticket<Job>,
+        next: &mut Option<NextItem>,
+    ) -> PendingEnd {
+        let mut outcome = std::pin::pin!(ticket.outcome());
+        loop {
+            tokio::select! {
+                biased;
+                outcome = &mut outcome => return PendingEnd::Answered(outcome),
+                item = self.next_item_while_pending(connection, next.is_some()) => match item {
+                    Err(end) => return end,
+                    // The next request of the client arrived early.
+                    Ok(item) => *next = Some(item),
+                },
+            }
+        }
+    }
+
+    /// Returns the HTTP answer for the outcome of a request, once it is stored where accounts and sites need that.
+    async fn answer_outcome(
+        &self,
+        outcome: ResponseOutcome,
+        admission: Option<RequestAdmission>,
+        deadline: Instant,
+    ) -> Answer {
+        let extra_field = admission.as_ref().and_then(|admission| admission.response_field(&outcome));
+        let pending_answer = admission.as_ref().and_then(|admission| match &outcome {
+            ResponseOutcome::Served(body) => admission.store_answer(200, body),
+            ResponseOutcome::Failed => admission.store_answer(502, b"failed\n"),
+            ResponseOutcome::Shed { .. } | ResponseOutcome::Rejected { .. } => None,
+        });
+        let rejection = admission.and_then(|admission| admission.finish(&outcome));
+        if let Some(pending_answer) = pending_answer {
+            pending_answer.stored(&self.deadlines, deadline).await;
+        }
+        answer_for(outcome, rejection, extra_field, |wait| self.exchange.capped_retry_after(wait))
+    }
+
+    /// Returns the next item that arrives while an answer is pending; fails if the wait for the answer has to end. With `has_next`,
+    /// an item is waiting already, and further data is only read ahead.
+    async fn next_item_while_pending(
         &self,
         connection: &mut Connection,
         has_next: bool,
-    ) -> Option<Result<Incoming, ReadError>> {
+    ) -> Result<NextItem, PendingEnd> {
         if !has_next {
-            return self.pool.next(connection).await;
+            return match connection.next().await {
+                None | Some(Err(ReadError::Io(_))) => Err(PendingEnd::ClientDisconnected),
+                item => Ok(item),
+            };
         }
         loop {
-            match self.pool.read_ahead(connection) {
-                ReadAhead::Ended => return None,
-                // The next read returns the same error.
-                ReadAhead::Open => drop(connection.get_ref().readable().await),
+            match connection.read_ahead() {
+                ReadAhead::Ended => return Err(PendingEnd::ClientDisconnected),
+                ReadAhead::NoMemory => return Err(PendingEnd::Overrun),
+                ReadAhead::Open => connection.readable().await,
                 // Guards against a busy loop, as the socket stays readable.
                 ReadAhead::Full => self.deadlines.after(CLOSE_POLL_INTERVAL).await,
             }
@@ -253,7 +287,7 @@
             // Reads what has arrived before any other reason closes the connection.
             let mut reason = tokio::select! {
                 biased;
-                item = self.pool.next(connection) => break Ok(item),
+                item = connection.next() => break Ok(item),
                 () = bytes_received.notified() => None,
                 _ = &mut closed => Some(CloseReason::Evicted),
                 reason = &mut unwanted, if deferred_reason != Some(CloseReason::Shutdown) => Some(reason),
@@ -264,7 +298,7 @@
                 // Guards requests that have arrived: if the process was suspended, timers may be handled before sockets, and the
                 // requests would be discarded.
                 poll_sockets().await;
-                if let Some(item) = self.pool.next(connection).now_or_never() {
+                if let Some(item) = connection.next().now_or_never() {
                     break Ok(item);
                 }
                 // A part of a request has arrived, so the connection is not idle.
@@ -276,7 +310,7 @@
                 }
             }
             // A connection with a partial request is not idle; it may go on until the timeout of the request.
-            let is_partial = connection.codec().is_partial() || !connection.read_buffer().is_empty();
+            let is_partial = connection.codec().is_partial() || connection.has_unread_data();
             match (is_partial, reason) {
                 (true, None) => {
                     if !std::mem::replace(&mut has_begun, true) {
@@ -340,7 +374,7 @@
     pub(super) async fn write(&self, connection: &mut Connection, answer: Answer) -> Result<(), CloseReason> {
         tokio::select! {
             biased;
-            sent = self.pool.send(connection, answer) => sent.map_err(|_| CloseReason::PeerBroke),
+            sent = connection.send(answer) => sent.map_err(|_| CloseReason::PeerBroke),
             () = self.deadlines.after(WRITE_TIMEOUT) => Err(CloseReason::TooSlow),
         }
     }
@@ -357,8 +391,10 @@
         match self.parse_job(request) {
             Ok((mut params, job)) => {
                 // Guards against dispatching a job whose client disconnected right after sending it.
-                if self.pool.read_ahead(connection) == ReadAhead::Ended {
-                    return Reply::ClientDisconnected;
+                match connection.read_ahead() {
+                    ReadAhead::Ended => return Reply::ClientDisconnected,
+                    ReadAhead::NoMemory => return Reply::Overrun,
+                    ReadAhead::Open | ReadAhead::Full => {}
                 }
                 let mut admission = None;
                 if let Some(sites) = &*self.sites.borrow() {
--- a/src/net/frontend/request.rs
+++ b/src/net/frontend/request.rs
@@ -27,7 +27,7 @@
 
     /// Parses a request into a job. Fails with an answer that closes the connection, which guards against clients that send
     /// hundreds of invalid requests.
-    pub(super) fn parse_job(&self, request: Request) -> Result<(RequestParams, Job), Answer> {
+    pub(super) fn parse_job(&self, mut request: Request) -> Result<(RequestParams, Job), Answer> {
         let malformed = |reason: &str| Answer::text(400, reason, true);
         let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
         let name = path.strip_prefix('/').map(|p| p.split('/').next().unwrap_or(p));
@@ -80,6 +80,8 @@
             is_remote: false,
         };
         let host = field("host")?.unwrap_or("").to_string();
+        let no_memory = |_| Answer::text(503, "no memory is left for the request", true);
+        request.body.count_request_head(request.head_bytes).map_err(no_memory)?;
         let id = Claim::acquire(id, &self.request_ids)
             .ok_or_else(|| Answer::text(409, "Request-Id is in use", true))?;
         Ok((
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod close_reason;
 pub mod codec;
 pub mod config;
+pub mod connection;
 pub mod deadlines;
 pub mod exchange;
 pub mod fleet;
--- a/src/net/server_table.rs
+++ b/src/net/server_table.rs
@@ -3,6 +3,7 @@
 use super::backoff::{Backoff, WatchOutcome, PROPAGATION_LIMIT, SILENCE_TIMEOUT};
 use super::close_reason::{CloseReason, Side};
 use super::codec::{ClientCodec, OutgoingRequest, ReadError, ResponsePart};
+use super::connection::Peer;
 use super::deadlines::Deadlines;
 use super::exchange::{Exchange, ServerEntry};
 use super::fleet::DiscoveryCallLimit;
@@ -22,7 +23,6 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
 /// Maximum size of a list or of one set of changes, in bytes.
@@ -174,7 +174,7 @@
     is_restored: bool,
 }
 
-type Connection = Framed<TcpStream, ClientCodec>;
+type Connection = super::connection::Connection<ClientCodec>;
 
 /// The state of a watch, from which the next watch continues.
 struct WatchState {
@@ -309,10 +309,9 @@
             () = self.deadlines.after(self.backoff.connect_timeout()) => return CloseReason::ConnectTimeout,
         };
         let Ok(stream) = stream else { return CloseReason::Refused };
-        let mut connection =
-            self.pool.framed::<OutgoingRequest, _>(stream, ClientCodec::streaming(&self.pool));
+        let codec = ClientCodec::streaming(&self.pool);
+        let mut connection = Connection::new::<OutgoingRequest>(stream, codec, Peer::Server, &self.pool);
         let Err(close_reason) = self.receive(&mut connection, discovery, state).await;
-        self.pool.release(connection);
         close_reason
     }
 
@@ -371,7 +370,7 @@
         state.silent_since = Instant::now();
         let fields = format!("Host: {discovery}\r\n");
         let request = OutgoingRequest { method: "GET", target, fields, body: None };
-        self.pool.send(connection, request).await.map_err(|_| CloseReason::PeerBroke)
+        connection.send(request).await.map_err(|_| CloseReason::PeerBroke)
     }
 
     /// Returns the next piece of a response, or why the connection has to be closed. Parts of an incomplete object do not restart the
@@ -383,12 +382,12 @@
     ) -> Result<ResponsePart, CloseReason> {
         let piece = tokio::select! {
             biased;
-            piece = self.pool.next(connection) => piece,
+            piece = connection.next() => piece,
             () = self.deadlines.at(state.silent_since + SILENCE_TIMEOUT) => {
                 // After the process was suspended the timer may fire before the sockets are polled. What has arrived by now still
                 // counts.
                 poll_sockets().await;
-                match self.pool.next(connection).now_or_never() {
+                match connection.next().now_or_never() {
                     Some(piece) => piece,
                     None => return Err(CloseReason::Silent),
                 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -18,6 +18,8 @@
 mod fleet;
 #[path = "node/key_ownership.rs"]
 mod key_ownership;
+#[path = "node/memory.rs"]
+mod memory;
 #[path = "node/operators.rs"]
 mod operators;
 #[path = "node/rare.rs"]
--- a/tests/node/event_order.rs
+++ b/tests/node/event_order.rs
@@ -247,21 +247,23 @@
     assert!(lines.iter().all(|l| !l.contains("end server-table")), "{lines:?}");
 }
 
-/// Opens clients with incomplete request bodies until a further body is rejected for lack of memory.
+/// Opens clients with incomplete request bodies, large ones first, until not even a small request is accepted for lack of memory.
 fn fill_body_memory(node: &Node) -> Vec<Connection> {
-    let body = "x".repeat(65_500);
+    let lengths = std::iter::successors(Some(65_500), |length| Some(length / 2).filter(|length| *length > 4));
     let mut held = Vec::new();
-    loop {
+    for length in lengths.flat_map(|length| [length; 3]) {
         let mut client = node.client();
         let head = HEAD.replace("Request-Id: a", &format!("Request-Id: held-{}", held.len()));
+        let body = "x".repeat(length);
         client.send(&format!("POST /zone-plan HTTP/1.1\r\n{head}Content-Length: 65536\r\n\r\n{body}"));
         held.push(client);
         let mut one_more = node.client();
-        one_more.send(&job("more", "/no-such-class", "400m", &"x".repeat(1_000)));
+        one_more.send(&job("more", "/no-such-class", "400m", "x"));
         if one_more.message().status() == 503 {
             return held;
         }
     }
+    panic!("the memory is not full");
 }
 
 /// Guards against rejecting a server's response while incomplete request bodies take all memory meant for them.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -283,6 +283,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Returns the private memory of the process in KiB, without the program's text and the sockets' buffers; 0 if it has ended.
+    pub fn private_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let size = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        size.map_or(0, |size| size.trim().trim_end_matches(" kB").parse().unwrap())
+    }
+
     /// Waits until the process ends.
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
