Begin no attempt for a client whose end can't be seen

Cause: with 80 KiB read ahead behind a request the node stopped reading and only asked the system for the end of the connection. An end behind data that nobody reads stays at the client's system, so the client seemed to be there.

A client that sends more gets the final answer (503 if nothing was sent for its request, else 502), no further attempt, and its connection ends as overrun. The poll of 25 ms is gone.

Why it works: an attempt begins only while all that has arrived is read, so the end is seen when it arrives.

Tests: two sizes more in disconnect_is_noticed_behind_more_than_is_read_ahead, and client_that_sends_more_than_is_held_gets_one_answer _and_no_retry.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -11,15 +11,17 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed, FramedParts};
 
+/// Most data that is held behind a request without an answer. Hundreds of usual requests fit.
+pub const MAX_READ_AHEAD_BYTES: usize = 1024 * 1024;
+
 /// The state of a connection after [`Connection::read_ahead`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadAhead {
     /// All received data is held, and more may arrive.
     Open,
-    /// The buffer is full; the socket may have more data.
+    /// There is more data than may be held, so that the end of the connection can't be noticed. What was held may be dropped, after
+    /// which nothing more can be read.
     Full,
-    /// There is no memory for the data. It was dropped, after which the connection can't be used any more.
-    NoMemory,
     /// The peer has closed the connection, or it failed.
     Ended,
 }
@@ -131,12 +133,12 @@
     }
 
     /// Reads more data while a decoded item is being handled, which is decoded after that item. Guards against missing the end of
-    /// the connection, which is only visible after all data before it was read. `Framed` can't do this: it decodes whatever it
-    /// reads.
+    /// the connection, which is only visible after all data before it was read: behind data that nobody reads, the peer's system
+    /// holds it back. `Framed` can't do this: it decodes whatever it reads.
     pub fn read_ahead(&mut self) -> ReadAhead {
         self.prepare_read();
         let state = loop {
-            if !self.has_read_space() {
+            if !self.has_read_space() && self.extend_read_buffer().is_err() {
                 break if self.is_read_closed() { ReadAhead::Ended } else { ReadAhead::Full };
             }
             let mut bytes = std::mem::take(self.framed.read_buffer_mut());
@@ -150,7 +152,7 @@
             }
         };
         match self.hold_read(self.peer.next_message()) {
-            Err(NoMemory) if state != ReadAhead::Ended => ReadAhead::NoMemory,
+            Err(NoMemory) if state != ReadAhead::Ended => ReadAhead::Full,
             _ => state,
         }
     }
@@ -232,6 +234,17 @@
         self.framed.read_buffer_mut().try_reclaim(1)
     }
 
+    /// Doubles the size of the read buffer, up to [`MAX_READ_AHEAD_BYTES`].
+    fn extend_read_buffer(&mut self) -> Result<(), NoMemory> {
+        let size = (2 * self.read_allocation).min(MAX_READ_AHEAD_BYTES);
+        if size <= self.read_allocation {
+            return Err(NoMemory);
+        }
+        self.read_reservation.resize(size, self.peer.next_message())?;
+        self.replace_read_buffer(BytesMut::with_capacity(size), size);
+        Ok(())
+    }
+
     /// Returns whether the peer has closed its side, as far as the system reports it before all data is read.
     fn is_read_closed(&self) -> bool {
         let ready = self.framed.get_ref().ready(Interest::READABLE).now_or_never();
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -406,7 +406,7 @@
         }
     }
 
-    /// Gives up a request whose client is still connected, and cancels its attempts. Returns the final answer, or `None` if there
+    /// Gives up a request whose client is still connected, as if it had disconnected. Returns the final answer, or `None` if there
     /// was one before.
     fn withdraw(&self, id: RequestId) -> Option<ResponseOutcome> {
         let request = self.inner.borrow_mut().open.remove(&id)?;
--- a/src/net/frontend/connection.rs
+++ b/src/net/frontend/connection.rs
@@ -21,9 +21,6 @@
 /// Idle connections close this long after the start of a drain. By then the upstream balancer sends no new connections here, so
 /// that clients which reconnect reach other nodes.
 const DRAIN_IDLE_DELAY: Duration = Duration::from_millis(800);
-/// Interval of checks for the end of a connection whose read-ahead buffer is full; well within the 0.1 s after which no attempt
-/// may start for a client that has disconnected.
-const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Pause after each read of discarded input, so that a client which sends megabytes at full speed does not use up the CPU.
 const DISCARD_PAUSE: Duration = Duration::from_millis(5);
 /// How long input is read and discarded after the last answer, so that the client receives that answer.
@@ -255,10 +252,9 @@
         loop {
             match connection.read_ahead() {
                 ReadAhead::Ended => return Err(PendingEnd::ClientDisconnected),
-                ReadAhead::NoMemory => return Err(PendingEnd::Overrun),
+                // Guards against attempts for a client that has disconnected unnoticed.
+                ReadAhead::Full => return Err(PendingEnd::Overrun),
                 ReadAhead::Open => connection.readable().await,
-                // Guards against a busy loop, as the socket stays readable.
-                ReadAhead::Full => self.deadlines.after(CLOSE_POLL_INTERVAL).await,
             }
         }
     }
@@ -393,8 +389,8 @@
                 // Guards against dispatching a job whose client disconnected right after sending it.
                 match connection.read_ahead() {
                     ReadAhead::Ended => return Reply::ClientDisconnected,
-                    ReadAhead::NoMemory => return Reply::Overrun,
-                    ReadAhead::Open | ReadAhead::Full => {}
+                    ReadAhead::Full => return Reply::Overrun,
+                    ReadAhead::Open => {}
                 }
                 let mut admission = None;
                 if let Some(sites) = &*self.sites.borrow() {
--- a/tests/node/connection_close.rs
+++ b/tests/node/connection_close.rs
@@ -140,16 +140,21 @@
     assert_only_next_job_arrives(&node, &server);
 }
 
-/// A client pipelines more input behind its first job than the node reads ahead. Guards against missing the disconnect after it.
+/// A client pipelines more input behind its first job than one read or the sockets' buffers take. Guards against missing the
+/// disconnect after it, and retrying the job of a client that has gone.
 #[rstest]
+#[case::three_large_requests(&[60_000, 60_000, 30_000])]
+#[case::hundreds_of_requests(&[1_000; 300])]
+#[case::many_large_requests(&[60_000; 14])]
 fn disconnect_is_noticed_behind_more_than_is_read_ahead(
+    #[case] bodies: &[usize],
     #[values(Disconnect::Close, Disconnect::StopSending, Disconnect::Reset)] disconnect: Disconnect,
     #[values(false, true)] at_once: bool,
 ) {
     let (node, server) = node_with_server();
-    let bodies = [60_000, 60_000, 30_000].map(|length| "x".repeat(length));
+    let bodies = bodies.iter().map(|length| "x".repeat(*length));
     let pipelined: String =
-        bodies.iter().enumerate().map(|(k, b)| long_timeout_job(&format!("early-{k}"), b)).collect();
+        bodies.enumerate().map(|(k, b)| long_timeout_job(&format!("early-{k}"), &b)).collect();
     let mut client = TcpStream::connect(node.address).unwrap();
     client.write_all(long_timeout_job("first", "").as_bytes()).unwrap();
     let mut backend = server.accept();
@@ -166,6 +171,39 @@
     assert_only_next_job_arrives(&node, &server);
 }
 
+/// A client sends more behind a job than the node holds, so that its end can't be noticed. Guards against further attempts of the
+/// job, and against a client that waits for its answers. With `at_once` everything arrives before the job is read.
+#[rstest]
+fn client_that_sends_more_than_is_held_gets_one_answer_and_no_retry(#[values(false, true)] at_once: bool) {
+    let (node, server) = node_with_server();
+    let pipelined: String =
+        (0..50).map(|k| long_timeout_job(&format!("early-{k}"), &"x".repeat(60_000))).collect();
+    let stream = TcpStream::connect(node.address).unwrap();
+    let mut writes = stream.try_clone().unwrap();
+    let mut client = Connection::new(stream);
+    node.set_paused(at_once);
+    client.send(&long_timeout_job("first", ""));
+    let backend = (!at_once).then(|| server.accept());
+    std::thread::spawn(move || writes.write_all(pipelined.as_bytes()));
+    if at_once {
+        std::thread::sleep(Duration::from_millis(100));
+        node.set_paused(false);
+    }
+    let answer = client.message();
+    // The job may have run once it was sent.
+    let status = if at_once { 503 } else { 502 };
+    assert_eq!((answer.status(), answer.field("Connection")), (status, Some("close")));
+    assert!(client.is_closed());
+    let line = node.logs("end frontend");
+    assert!(line.contains("reason=overrun messages=1"), "{line}");
+    if let Some(mut backend) = backend {
+        assert_eq!(backend.id(), "first");
+        backend.send("HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+        assert_unused_until_closed(&node, backend);
+    }
+    assert_only_next_job_arrives(&node, &server);
+}
+
 /// Guards against losing, reordering or changing pipelined requests, however many and large they are.
 #[rstest]
 #[case::many_without_body(200, 0)]
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -131,7 +131,7 @@
         assert_eq!(connection.read_ahead(), ReadAhead::Open, "what is reserved stays");
         client.write_all(&request(600)).await.unwrap();
         tokio::time::sleep(Duration::from_millis(20)).await;
-        assert_eq!(connection.read_ahead(), ReadAhead::NoMemory);
+        assert_eq!(connection.read_ahead(), ReadAhead::Full);
         assert_eq!(pool.reserved_bytes(), body.capacity());
         body.append(&[1; 5_500]).unwrap();
         assert!(body.append(&[1]).is_err());
