Count a latency objective up to its class's deadline where servers are avoided

Cause: Suspicion::pause clamps between the longest objective and the longest deadline, and nothing kept the one under the other. An objective beyond the deadline is valid and means the deadline, which due times followed and Settings::longest_objective didn't.

Change: longest_objective counts each objective up to its class's deadline; pause doesn't use clamp, which panics.

Why it works: min is never above max, and where another caller mixed them up the pause would be max.

--- a/crates/scheduler/src/outlier.rs
+++ b/crates/scheduler/src/outlier.rs
@@ -104,10 +104,11 @@
         }
     }
 
-    /// Starts to avoid the subject, for twice as long as last time within `min` and `max`.
+    /// Starts to avoid the subject, for twice as long as last time within `min` and `max`. If `min` is the
+    /// greater one, `max` holds.
     pub fn pause(&mut self, now: Micros, min: Micros, max: Micros) {
         self.is_cleared = false;
-        self.pause = (self.pause * 2).clamp(min, max);
+        self.pause = (self.pause * 2).max(min).min(max);
         self.until = now + self.pause;
     }
 
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -188,9 +188,12 @@
         self.recent_window() as Micros / 8
     }
 
-    /// Returns the longest latency objective of any class, in microseconds.
+    /// Returns the longest latency objective of any class, in microseconds; at most
+    /// [`Settings::recent_window`]. An objective counts up to its class's deadline, as no answer is in time
+    /// after that.
     pub(crate) fn longest_objective(&self) -> f64 {
-        self.classes.iter().map(|c| c.latency_objective).max().unwrap_or(1).max(1) as f64
+        let objectives = self.classes.iter().map(|c| c.latency_objective.min(c.deadline));
+        objectives.max().unwrap_or(1).max(1) as f64
     }
 }
 
