--- a/crates/placements/src/log.rs
+++ b/crates/placements/src/log.rs
@@ -273,7 +273,7 @@
         lock(&self.state).identity.writer.clone()
     }
 
-    /// Returns the last entry that is on the disk.
+    /// Returns the last entry that is on the disk. Peers are sent only entries up to this one.
     pub fn durable(&self) -> Point {
         lock(&self.state).durable
     }
--- a/crates/scheduler/src/scheduler/slow_start.rs
+++ b/crates/scheduler/src/scheduler/slow_start.rs
@@ -47,7 +47,8 @@
     /// that is less. This scheduler's part is its agreed share of that. Without one it is
     /// the rate at which this scheduler's jobs are served, scaled to the endpoint's capacity, or an equal
     /// part for each process if that is greater. The result is that part times the load fraction halfway
-    /// between the last attempt and now, less a tenth as a margin.
+    /// between the last attempt and now, less a tenth as a margin. So all schedulers together stay under
+    /// the limit.
     fn slow_start_rate(&self, tracked: &TrackedEndpoint) -> f64 {
         let settings = &self.settings;
         let capacity = tracked.endpoint.capacity;
@@ -64,7 +65,8 @@
     }
 
     /// Returns the budget that this scheduler has when an endpoint starts, as a fraction from 0 to 1 of the
-    /// mean work of a job. It differs between schedulers, so that their first jobs arrive one after another.
+    /// mean work of a job. It differs between schedulers, so that their first jobs arrive one after another,
+    /// in the order of their ranks where the settings give ranks.
     pub(super) fn slow_start_phase(&mut self, endpoint: &Endpoint) -> f64 {
         let schedulers = f64::from(self.settings.schedulers.max(1));
         let random_phase = self.rng.rand_float();
@@ -89,8 +91,9 @@
     /// A job may be sent each time the budget has grown by the work of a job of its class, within a limited
     /// time after that. The time is how long all schedulers take to consider an endpoint of full capacity
     /// once each or, if longer, the time in which all of them together send no more than `3/4 N + sqrt(N)`
-    /// jobs, where `N` jobs overload the endpoint. Guards against bursts in which all schedulers use up
-    /// their budgets at once. The work of a probe for the request was charged before.
+    /// jobs, where `N` jobs overload the endpoint. The rest of `N` is for chance. Guards against bursts in
+    /// which all schedulers use up their budgets at once. The work of a probe for the request was charged
+    /// before.
     pub(super) fn slow_start_remainder(
         &self,
         tracked: &TrackedEndpoint,
