Start the rig's processes only once its guard knows of them

Cause: the guard got a process's id after the process had started, so a rig that was killed in between left it running.

Change: a process begins as a shell that waits for a line on its standard input and ends without one; the rig writes the line after the guard has the id.

Why it works: at each moment the guard knows of the process or the process ends by itself with the rig.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -145,25 +145,26 @@
 
     /// Starts a process. The one before must have exited.
     pub fn start(self: &Rc<Self>) -> std::io::Result<()> {
-        let command = Command::new(&self.programs.borrow().0);
-        self.spawn(command)
+        self.spawn(String::new())
     }
 
     /// Starts a process whose files can't grow beyond `blocks` blocks of 512 bytes: writes fail as on a full disk.
     pub fn start_with_full_disk(self: &Rc<Self>, blocks: u64) -> std::io::Result<()> {
-        let mut command = Command::new("sh");
-        let script = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" \"$@\"");
-        command.args(["-c", &script]).arg(&self.programs.borrow().0);
-        self.spawn(command)
+        self.spawn(format!("trap '' XFSZ; ulimit -f {blocks};"))
     }
 
-    fn spawn(self: &Rc<Self>, mut command: Command) -> std::io::Result<()> {
-        let mut child = command
+    /// Starts a shell that executes the commands `setup` and then the program, once the guard knows of it: it waits for a line on
+    /// its standard input, and ends without one.
+    fn spawn(self: &Rc<Self>, setup: String) -> std::io::Result<()> {
+        let script = format!("read -r line || exit; {setup} exec \"$0\" \"$@\" </dev/null");
+        let mut child = Command::new("sh")
+            .args(["-c", &script])
+            .arg(&self.programs.borrow().0)
             .args(&self.args)
             .env_remove("ROUTER_LISTEN")
             .env_remove("ROUTER_DISCOVERY")
             .env_remove("ROUTER_MGMT")
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .kill_on_drop(true)
@@ -179,6 +180,9 @@
                 spawn_local(self.clone().watch_cpu(pid));
             }
         }
+        if let Some(input) = child.stdin.take() {
+            std::fs::File::from(input.into_owned_fd()?).write_all(b"\n")?;
+        }
         let log = child.stderr.take();
         let node = self.clone();
         spawn_local(async move {
