--- a/crates/quota-server/src/call_server.rs
+++ b/crates/quota-server/src/call_server.rs
@@ -25,7 +25,7 @@
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// The order in which connections that wait for a call are closed to make room: those that have not completed one first, and of
+/// The order in which connections that wait for a call are closed when there are too many: those that have not completed one first, and of
 /// these the one that has waited longest.
 type WaitingKey = (bool, Instant, u64);
 
@@ -40,8 +40,9 @@
 }
 
 impl Connections {
-    /// Makes room for a connection. Returns whether there is room, which fails if all connections are in the middle of a call.
-    fn make_room(&self) -> bool {
+    /// Closes a connection that waits for a call if there are too many for a further one. Returns false if all of them are in the
+    /// middle of a call.
+    fn evict_excess(&self) -> bool {
         if self.open.get() < MAX_CONNECTIONS {
             return true;
         }
@@ -120,7 +121,7 @@
                 continue;
             }
         };
-        if !connections.make_room() {
+        if !connections.evict_excess() {
             warn!("a connection is closed at once: {MAX_CONNECTIONS} others are in the middle of a call");
             continue;
         }
@@ -134,7 +135,7 @@
     }
 }
 
-/// Answers the calls of one connection until it ends or makes room for another.
+/// Answers the calls of one connection until it ends or is closed in favor of another.
 async fn answer<R: Future<Output = Reply>>(
     stream: TcpStream,
     connections: &Connections,
