Show that requests outlive their time unread behind a crowd that stops half way

No code of the project is changed.

A full node leaves connections in the listener's queue, and counts a request's time from its reading.

--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and the checks of the cases of the second review.
 
 mod client;
+mod crowd;
 mod deployment;
 mod discovery;
 mod executor;
@@ -24,6 +25,12 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    if let ["crowd-member", node] = arguments[..] {
+        if let Ok(node) = node.parse() {
+            crowd::join_crowd(node);
+        }
+        return ExitCode::SUCCESS;
+    }
     let [case, folder] = arguments[..] else { return ExitCode::from(2) };
     watchdog::start();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -31,6 +38,7 @@
         return ExitCode::from(2);
     };
     let verdict = match case {
+        "crowd" => crowd::run(trouble, &record),
         "slow-list" => slow_list::run(trouble, &record),
         _ => return ExitCode::from(2),
     };
