--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -7,7 +7,6 @@
 mod executor;
 mod http;
 mod node;
-mod pipeline;
 mod record;
 mod settings;
 mod slow_list;
@@ -40,7 +39,6 @@
     };
     let verdict = match case {
         "crowd" => crowd::run(trouble, &record),
-        "pipeline" => pipeline::run(trouble, &record),
         "slow-list" => slow_list::run(trouble, &record),
         _ => return ExitCode::from(2),
     };
