Show that a second answer makes a node send two copies where these are forbidden

No code of the project is changed.

The setting is not read, and a rejection that may belong to the job before is believed for classes that are safe to repeat.

--- a/review/rig-2/crowd.rs
+++ b/review/rig-2/crowd.rs
@@ -33,13 +33,15 @@
 pub fn run(trouble: bool, record: &Record) -> std::io::Result<Verdict> {
     let class =
         Class { name: "sensor-check", semantics: "free", deadline_ms: DEADLINE_MS, dedup_window_ms: 5_000 };
-    let settings = Settings { classes: vec![class], discovery: "pushed", drain_grace_ms: 500 };
+    let settings =
+        Settings { classes: vec![class], discovery: "pushed", second_copies: true, drain_grace_ms: 500 };
     let options = Options {
         // Half of the 192 MB, and of the least of the 256 to 1,024 descriptors, that days without this trouble have.
         memory_mb: 96,
         sockets: 128,
         settings: settings.json(),
         plan: Arc::new(|_| Duration::from_millis(50)),
+        manners: Default::default(),
         pace: Pace::AtOnce,
     };
     let mut deployment = Deployment::start(options, record, |_| {})?;
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -1,12 +1,12 @@
 //! A small deployment: one node, its discovery and four executors.
 
 use crate::discovery::{Discovery, Member, Pace};
-use crate::executor::{self, Attempts, Plan};
+use crate::executor::{self, Attempts, Manner, Plan};
 use crate::node::{free_address, wait_until_ready, Config, Folder, Node};
 use crate::record::Record;
 
 /// Number of executors.
-const EXECUTORS: usize = 4;
+pub const EXECUTORS: usize = 4;
 
 /// The limits and settings of the node, and how the others behave.
 pub struct Options {
@@ -14,6 +14,8 @@
     pub sockets: u32,
     pub settings: String,
     pub plan: Plan,
+    /// How each executor answers.
+    pub manners: [Manner; EXECUTORS],
     pub pace: Pace,
 }
 
@@ -39,8 +41,9 @@
         let folder = Folder::create()?;
         let attempts = Attempts::default();
         let mut executors = Vec::new();
-        for n in 0..EXECUTORS {
-            executors.push(executor::start(&format!("s-{n}"), record, &attempts, options.plan.clone())?);
+        for (n, manner) in options.manners.into_iter().enumerate() {
+            let name = format!("s-{n}");
+            executors.push(executor::start(&name, record, &attempts, options.plan.clone(), manner)?);
         }
         let member =
             |e: &executor::Executor| Member { id: e.name.clone(), address: e.address, phase: "active" };
--- a/review/rig-2/drain.rs
+++ b/review/rig-2/drain.rs
@@ -45,7 +45,12 @@
 pub fn run(trouble: bool, record: &Record) -> std::io::Result<Verdict> {
     let class =
         Class { name: "report-submit", semantics: "guarded", deadline_ms: 25_000, dedup_window_ms: 40_000 };
-    let settings = Settings { classes: vec![class], discovery: "on_request", drain_grace_ms: 1_500 };
+    let settings = Settings {
+        classes: vec![class],
+        discovery: "on_request",
+        second_copies: true,
+        drain_grace_ms: 1_500,
+    };
     let options = Options {
         memory_mb: 192,
         sockets: 1024,
@@ -53,6 +58,7 @@
         plan: Arc::new(
             |attempt| if attempt.id.starts_with("early") { Duration::from_millis(100) } else { JOB_TAKES },
         ),
+        manners: Default::default(),
         pace: Pace::AtOnce,
     };
     let mut deployment = Deployment::start(options, record, |_| {})?;
--- a/review/rig-2/executor.rs
+++ b/review/rig-2/executor.rs
@@ -2,11 +2,11 @@
 
 use crate::http::{read_message, Message};
 use crate::record::Record;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An attempt that reached an executor.
 #[derive(Clone, Debug)]
@@ -18,6 +18,8 @@
     pub at_ms: f64,
     /// How long the node says that it will wait, in milliseconds.
     pub told_ms: f64,
+    /// Whether the attempt has been answered or its connection has ended.
+    pub is_over: Arc<AtomicBool>,
 }
 
 /// All attempts of a run, in the order in which they came.
@@ -26,6 +28,19 @@
 /// Decides how long a job runs.
 pub type Plan = Arc<dyn Fn(&Attempt) -> Duration + Send + Sync>;
 
+/// How an executor answers, besides the time that a job runs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Manner {
+    /// How long it takes from the last byte of a request to the head of its answer.
+    pub takes_after: Duration,
+    /// How long after each answer a second one comes, which says that the job was not started; `None` if none comes.
+    pub second_answer_after: Option<Duration>,
+}
+
+/// The second answer of an executor that spoils its answers.
+const SECOND_ANSWER: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// A running executor.
 #[derive(Clone)]
 pub struct Executor {
@@ -33,6 +48,7 @@
     pub address: SocketAddr,
     has_ended: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
+    manner: Manner,
     record: Record,
 }
 
@@ -49,13 +65,20 @@
 }
 
 /// Starts an executor.
-pub fn start(name: &str, record: &Record, attempts: &Attempts, plan: Plan) -> std::io::Result<Executor> {
+pub fn start(
+    name: &str,
+    record: &Record,
+    attempts: &Attempts,
+    plan: Plan,
+    manner: Manner,
+) -> std::io::Result<Executor> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let executor = Executor {
         name: name.to_string(),
         address: listener.local_addr()?,
         has_ended: Arc::default(),
         connections: Arc::default(),
+        manner,
         record: record.clone(),
     };
     let (accepting, attempts) = (executor.clone(), attempts.clone());
@@ -89,16 +112,28 @@
             let Attempt { executor, id, class, told_ms, .. } = &attempt;
             self.record.line(&format!("run {executor} id={id} class={class} told_ms={told_ms:.0}"));
             attempts.lock().unwrap_or_else(PoisonError::into_inner).push(attempt.clone());
-            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-            let state = |state: &str| format!(r#"{{"id":"{id}","from":"{executor}","state":"{state}""#);
-            write_chunk(&mut stream, &format!("{}}}\n", state("started")))?;
-            std::thread::sleep(plan(&attempt));
-            write_chunk(&mut stream, &format!("{},\"result\":\"{}\"}}\n", state("done"), result_of(id)))?;
-            stream.write_all(b"0\r\n\r\n")?;
+            let answered = self.answer(&mut stream, &attempt, plan);
+            attempt.is_over.store(true, Ordering::SeqCst);
+            answered?;
+            if let Some(delay) = self.manner.second_answer_after {
+                std::thread::sleep(delay);
+                stream.write_all(SECOND_ANSWER)?;
+            }
         }
         Ok(())
     }
 
+    fn answer(&self, stream: &mut TcpStream, attempt: &Attempt, plan: &Plan) -> std::io::Result<()> {
+        wait_while_open(stream, self.manner.takes_after)?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        let (id, executor) = (&attempt.id, &self.name);
+        let state = |state: &str| format!(r#"{{"id":"{id}","from":"{executor}","state":"{state}""#);
+        write_chunk(stream, &format!("{}}}\n", state("started")))?;
+        wait_while_open(stream, plan(attempt))?;
+        write_chunk(stream, &format!("{},\"result\":\"{}\"}}\n", state("done"), result_of(id)))?;
+        stream.write_all(b"0\r\n\r\n")
+    }
+
     fn attempt(&self, request: &Message) -> Attempt {
         let path = request.target().split('?').next().unwrap_or("");
         Attempt {
@@ -107,8 +142,24 @@
             class: path.trim_start_matches('/').to_string(),
             at_ms: self.record.now_ms(),
             told_ms: parse_timeout(request.field("request-timeout").unwrap_or("")),
+            is_over: Arc::default(),
+        }
+    }
+}
+
+/// Waits that long; fails as soon as the other side has closed the connection. The job runs on then, but nobody hears of it.
+fn wait_while_open(stream: &TcpStream, duration: Duration) -> std::io::Result<()> {
+    let end = Instant::now() + duration;
+    while Instant::now() < end {
+        stream.set_read_timeout(Some(Duration::from_millis(1)))?;
+        match stream.peek(&mut [0]) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(_) => std::thread::sleep(Duration::from_millis(1)),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(e) => return Err(e),
         }
     }
+    stream.set_read_timeout(None)
 }
 
 /// Returns the result that executors give for a request.
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod node;
 mod record;
+mod second_copies;
 mod settings;
 mod slow_list;
 mod watchdog;
@@ -41,6 +42,7 @@
     let verdict = match case {
         "crowd" => crowd::run(trouble, &record),
         "drain" => drain::run(trouble, &record),
+        "second-copies" => second_copies::run(trouble, &record),
         "slow-list" => slow_list::run(trouble, &record),
         _ => return ExitCode::from(2),
     };
--- a/review/rig-2/settings.rs
+++ b/review/rig-2/settings.rs
@@ -16,6 +16,8 @@
     pub classes: Vec<Class>,
     /// `pushed` or `on_request`.
     pub discovery: &'static str,
+    /// Whether two attempts of a request may be out together.
+    pub second_copies: bool,
     pub drain_grace_ms: u32,
 }
 
@@ -25,7 +27,7 @@
         let classes: Vec<String> = self.classes.iter().map(Class::json).collect();
         let for_each = |value: &str| vec![value; classes.len()].join(",");
         format!(
-            r#"{{"allowed":{{"cancel":true,"conn_idle_ms":5000.0,"connect_timeout_ms":150.0,"cpu_us_per_request":0.0,"cpu_us_per_s":8000,"max_open":20000,"max_retry_after_ms":2000.0,"multiplex":1,"peers":false,"probing":false,"retry_after":true,"second_copies":true,"try_limit":6}},
+            r#"{{"allowed":{{"cancel":true,"conn_idle_ms":5000.0,"connect_timeout_ms":150.0,"cpu_us_per_request":0.0,"cpu_us_per_s":8000,"max_open":20000,"max_retry_after_ms":2000.0,"multiplex":1,"peers":false,"probing":false,"retry_after":true,"second_copies":{},"try_limit":6}},
 "azs":["home"],
 "blend":{{"whole":0.35,"worst_class":0.2,"worst_tenant":0.25,"worst_window":0.2}},
 "classes":[{}],
@@ -39,6 +41,7 @@
 "report":{{"fields":["x0","err_ps","concurrent"],"how":"none"}},
 "rules":{{"answer_slack_ms":16.0,"ask_within_ms":10000.0,"cold_ms":24000.0,"cold_share":0.13,"drain_grace_ms":{}.0,"fall_ms":2000.0,"tip_multiple":4.0}},
 "tier":0,"tiers":["klimaberegning"],"value_by":"request","weights":"nominal","workload":"jobs","zone":"home"}}"#,
+            self.second_copies,
             classes.join(","),
             self.discovery,
             for_each("-1"),
--- a/review/rig-2/slow_list.rs
+++ b/review/rig-2/slow_list.rs
@@ -27,12 +27,18 @@
 pub fn run(trouble: bool, record: &Record) -> std::io::Result<Verdict> {
     let class =
         Class { name: "payout", semantics: "single_shot", deadline_ms: 5_000, dedup_window_ms: 5_000 };
-    let settings = Settings { classes: vec![class], discovery: "on_request", drain_grace_ms: DRAIN_GRACE_MS };
+    let settings = Settings {
+        classes: vec![class],
+        discovery: "on_request",
+        second_copies: true,
+        drain_grace_ms: DRAIN_GRACE_MS,
+    };
     let options = Options {
         memory_mb: 192,
         sockets: 1024,
         settings: settings.json(),
         plan: Arc::new(|_| Duration::from_millis(300)),
+        manners: Default::default(),
         pace: if trouble { Pace::Over(LIST_TAKES) } else { Pace::AtOnce },
     };
     let mut deployment = Deployment::start(options, record, |discovery| {
